The whole path, thin: caller, entry, home, backend server and back

A statement goes from a caller through an entry instance and the member's home instance to a backend server, as separate processes, and the answer carries a session token that every other instance honours.

--- /dev/null
+++ b/daemon/src/main.cpp
@@ -0,0 +1,112 @@
+// rattanbeamd: one instance of the proxy.
+
+#include "rattanbeam/kernel/logevent.h"
+#include "rattanbeam/kernel/settings.h"
+#include "rattanbeam/proxy/instance.h"
+
+#include <popt.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+#include <string>
+
+namespace
+{
+
+constexpr int exitSettings = 2;
+constexpr int exitFailure = 1;
+constexpr int exitCut = 3;
+
+struct Arguments {
+    std::string configFile;
+    bool onlyCheck = false;
+    bool showVersion = false;
+};
+
+/// Nothing when the command line is wrong; the reason is then printed.
+std::optional<Arguments> parseArguments(int argc, const char **argv)
+{
+    char *file = nullptr;
+    int onlyCheck = 0;
+    int showVersion = 0;
+    const poptOption table[] = {{"config", 'c', POPT_ARG_STRING, &file, 0, "settings of this instance", "FILE.ini"},
+                                {"check-config", '\0', POPT_ARG_NONE, &onlyCheck, 0, "check the settings and stop", nullptr},
+                                {"version", '\0', POPT_ARG_NONE, &showVersion, 0, "print the version and stop", nullptr},
+                                POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context = poptGetContext("rattanbeamd", argc, argv, table, 0);
+    const int code = poptGetNextOpt(context);
+    if (code < -1) {
+        std::cerr << "rattanbeamd: " << poptBadOption(context, 0) << ": " << poptStrerror(code) << '\n';
+    }
+    poptFreeContext(context);
+    if (code < -1) {
+        return std::nullopt;
+    }
+    return Arguments{file == nullptr ? std::string() : file, onlyCheck != 0, showVersion != 0};
+}
+
+std::optional<rattanbeam::kernel::Settings> readSettings(const std::string &file)
+{
+    std::ifstream stream(file);
+    if (!stream) {
+        std::cerr << file << ": cannot be read\n";
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    const auto settings = rattanbeam::kernel::parseSettings(text.str());
+    if (!settings) {
+        std::cerr << settings.error().text(file) << '\n';
+        return std::nullopt;
+    }
+    return *settings;
+}
+
+/// Signals that ask for a graceful stop are blocked in all threads and awaited here.
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+} // namespace
+
+int main(int argc, const char **argv)
+{
+    const auto arguments = parseArguments(argc, argv);
+    if (!arguments) {
+        return exitSettings;
+    }
+    if (arguments->showVersion) {
+        std::cout << "rattanbeamd " << RATTANBEAM_VERSION << '\n';
+        return 0;
+    }
+    if (arguments->configFile.empty()) {
+        std::cerr << "rattanbeamd: --config FILE.ini is needed\n";
+        return exitSettings;
+    }
+    const auto settings = readSettings(arguments->configFile);
+    if (!settings) {
+        return exitSettings;
+    }
+    if (arguments->onlyCheck) {
+        std::cout << arguments->configFile << ": ok\n";
+        return 0;
+    }
+    const sigset_t signals = blockStopSignals();
+    rattanbeam::kernel::startLog(settings->logLevel, settings->instance.text());
+    rattanbeam::proxy::Instance instance(*settings);
+    if (!instance.start()) {
+        return exitFailure;
+    }
+    int received = 0;
+    sigwait(&signals, &received);
+    return instance.drain() ? 0 : exitCut;
+}
--- /dev/null
+++ b/decisions/src/confirmation.cpp
@@ -0,0 +1,85 @@
+#include "rattanbeam/decisions/confirmation.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace rattanbeam::decisions
+{
+
+std::vector<WriteId> ConfirmationTracker::startTerm(Term term, std::uint64_t barrier)
+{
+    std::vector<WriteId> lost;
+    if (term <= m_term) {
+        return lost;
+    }
+    for (const auto &[position, id] : m_waiting) {
+        lost.push_back(id);
+    }
+    m_waiting.clear();
+    m_heldBy.clear();
+    m_term = term;
+    m_barrier = barrier;
+    return lost;
+}
+
+bool ConfirmationTracker::add(WriteId id, std::uint64_t position)
+{
+    const std::uint64_t needed = std::max(position, m_barrier);
+    if (confirmedPosition() >= needed) {
+        return true;
+    }
+    m_waiting.emplace(needed, id);
+    return false;
+}
+
+void ConfirmationTracker::remove(WriteId id)
+{
+    std::erase_if(m_waiting, [id](const auto &each) {
+        return each.second == id;
+    });
+}
+
+std::vector<WriteId> ConfirmationTracker::held(const MemberId &member, Term term, std::uint64_t position)
+{
+    std::vector<WriteId> confirmed;
+    if (term != m_term) {
+        return confirmed;
+    }
+    std::uint64_t &known = m_heldBy[member];
+    known = std::max(known, position);
+    const auto end = m_waiting.upper_bound(confirmedPosition());
+    for (auto each = m_waiting.begin(); each != end; ++each) {
+        confirmed.push_back(each->second);
+    }
+    m_waiting.erase(m_waiting.begin(), end);
+    return confirmed;
+}
+
+std::optional<std::uint64_t> ConfirmationTracker::wanted(const MemberId &member) const
+{
+    const auto known = m_heldBy.find(member);
+    const std::uint64_t held = known == m_heldBy.end() ? 0 : known->second;
+    const auto next = m_waiting.upper_bound(held);
+    if (next == m_waiting.end()) {
+        return std::nullopt;
+    }
+    return next->first;
+}
+
+std::uint64_t ConfirmationTracker::confirmedPosition() const
+{
+    if (m_othersNeeded == 0) {
+        return std::numeric_limits<std::uint64_t>::max();
+    }
+    std::vector<std::uint64_t> positions;
+    for (const auto &[member, position] : m_heldBy) {
+        positions.push_back(position);
+    }
+    if (positions.size() < m_othersNeeded) {
+        return 0;
+    }
+    std::sort(positions.rbegin(), positions.rend());
+    return positions[m_othersNeeded - 1];
+}
+
+} // namespace rattanbeam::decisions
--- /dev/null
+++ b/decisions/src/inireader.cpp
@@ -0,0 +1,229 @@
+#include "rattanbeam/decisions/inireader.h"
+
+#include <boost/property_tree/ini_parser.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+
+namespace rattanbeam::decisions
+{
+
+namespace
+{
+
+struct Unit {
+    std::string suffix;
+    std::int64_t milliseconds;
+};
+
+const std::vector<Unit> &units()
+{
+    static const std::vector<Unit> all{{"ms", 1}, {"min", 60'000}, {"s", 1'000}};
+    return all;
+}
+
+std::optional<std::int64_t> parseWhole(const std::string &text)
+{
+    std::int64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+std::optional<std::int64_t> parseMilliseconds(const std::string &text)
+{
+    for (const Unit &unit : units()) {
+        if (!text.ends_with(unit.suffix)) {
+            continue;
+        }
+        const auto number = parseWhole(text.substr(0, text.size() - unit.suffix.size()));
+        constexpr std::int64_t mostUnits = 1'000'000'000;
+        if (number && *number >= 0 && *number <= mostUnits) {
+            return *number * unit.milliseconds;
+        }
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+std::string rangeText(const IniReader::Range &range, const std::string &unit)
+{
+    return "must be " + std::to_string(range.least) + unit + " to " + std::to_string(range.most) + unit;
+}
+
+} // namespace
+
+std::string ConfigError::text(const std::string &file) const
+{
+    std::string line = file + ": ";
+    if (!section.empty()) {
+        line += "[" + section + "] ";
+    }
+    if (!key.empty()) {
+        line += key + ": ";
+    }
+    return line + message;
+}
+
+IniReader::IniReader(const std::string &text)
+{
+    if (text.size() > maxBytes) {
+        fail("", "", "longer than 1048576 bytes");
+        return;
+    }
+    if (text.find('\0') != std::string::npos) {
+        fail("", "", "contains a NUL byte");
+        return;
+    }
+    std::istringstream stream(text);
+    try {
+        boost::property_tree::read_ini(stream, m_tree);
+    } catch (const boost::property_tree::ini_parser_error &error) {
+        fail("", "line " + std::to_string(error.line()), error.message());
+    }
+}
+
+std::optional<std::string> IniReader::find(const std::string &section, const std::string &key)
+{
+    m_asked.emplace(section, key);
+    const auto foundSection = m_tree.find(section);
+    if (foundSection == m_tree.not_found()) {
+        return std::nullopt;
+    }
+    const auto foundKey = foundSection->second.find(key);
+    if (foundKey == foundSection->second.not_found()) {
+        return std::nullopt;
+    }
+    return foundKey->second.data();
+}
+
+std::string IniReader::requiredText(const std::string &section, const std::string &key)
+{
+    const auto value = find(section, key);
+    if (!value || value->empty()) {
+        fail(section, key, "is missing");
+        return {};
+    }
+    return *value;
+}
+
+std::string IniReader::text(const std::string &section, const std::string &key, const std::string &fallback)
+{
+    return find(section, key).value_or(fallback);
+}
+
+std::int64_t
+IniReader::parseInteger(const std::string &section, const std::string &key, const std::string &value, Range range, std::int64_t fallback)
+{
+    const auto number = parseWhole(value);
+    if (!number) {
+        fail(section, key, "'" + value + "' is not a whole number");
+        return fallback;
+    }
+    if (*number < range.least || *number > range.most) {
+        fail(section, key, rangeText(range, ""));
+        return fallback;
+    }
+    return *number;
+}
+
+std::int64_t IniReader::requiredInteger(const std::string &section, const std::string &key, Range range)
+{
+    const std::string value = requiredText(section, key);
+    return value.empty() ? range.least : parseInteger(section, key, value, range, range.least);
+}
+
+std::int64_t IniReader::integer(const std::string &section, const std::string &key, Range range, std::int64_t fallback)
+{
+    const auto value = find(section, key);
+    return value ? parseInteger(section, key, *value, range, fallback) : fallback;
+}
+
+std::chrono::milliseconds
+IniReader::duration(const std::string &section, const std::string &key, Range rangeMs, std::chrono::milliseconds fallback)
+{
+    const auto value = find(section, key);
+    if (!value) {
+        return fallback;
+    }
+    const auto milliseconds = parseMilliseconds(*value);
+    if (!milliseconds) {
+        fail(section, key, "'" + *value + "' is not a time: write a whole number and ms, s or min");
+        return fallback;
+    }
+    if (*milliseconds < rangeMs.least || *milliseconds > rangeMs.most) {
+        fail(section, key, rangeText(rangeMs, "ms"));
+        return fallback;
+    }
+    return std::chrono::milliseconds(*milliseconds);
+}
+
+std::string
+IniReader::choice(const std::string &section, const std::string &key, const std::vector<std::string> &choices, const std::string &fallback)
+{
+    const auto value = find(section, key);
+    if (!value) {
+        return fallback;
+    }
+    if (std::find(choices.begin(), choices.end(), *value) == choices.end()) {
+        std::string message = "'" + *value + "' is not one of";
+        for (const std::string &each : choices) {
+            message += ' ' + each;
+        }
+        fail(section, key, message);
+        return fallback;
+    }
+    return *value;
+}
+
+std::vector<std::string> IniReader::namedSections(const std::string &prefix) const
+{
+    std::vector<std::string> names;
+    for (const auto &[section, keys] : m_tree) {
+        if (section.starts_with(prefix + ' ')) {
+            names.push_back(section.substr(prefix.size() + 1));
+        }
+    }
+    return names;
+}
+
+std::vector<std::pair<std::string, std::string>> IniReader::entries(const std::string &section)
+{
+    std::vector<std::pair<std::string, std::string>> all;
+    const auto found = m_tree.find(section);
+    if (found == m_tree.not_found()) {
+        return all;
+    }
+    for (const auto &[key, value] : found->second) {
+        m_asked.emplace(section, key);
+        all.emplace_back(key, value.data());
+    }
+    return all;
+}
+
+void IniReader::fail(const std::string &section, const std::string &key, const std::string &message)
+{
+    if (!m_error) {
+        m_error = ConfigError{section, key, message};
+    }
+}
+
+std::optional<ConfigError> IniReader::finish()
+{
+    for (const auto &[section, keys] : m_tree) {
+        if (keys.empty()) {
+            fail("", section, "stands outside of any section, or its section is empty");
+        }
+        for (const auto &[key, value] : keys) {
+            if (!m_asked.contains({section, key})) {
+                fail(section, key, "is not a known key");
+            }
+        }
+    }
+    return m_error;
+}
+
+} // namespace rattanbeam::decisions
--- /dev/null
+++ b/decisions/src/rankqueue.cpp
@@ -0,0 +1,251 @@
+#include "rattanbeam/decisions/rankqueue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rattanbeam::decisions
+{
+
+namespace
+{
+
+constexpr double shareHalfLifeSeconds = 0.5;
+constexpr double serviceSmoothing = 0.1; // weight of the newest sample in the moving mean
+constexpr std::size_t maxIdleCustomers = 1024; // fair-queueing state kept for customers with nothing waiting
+
+double secondsBetween(TimePoint from, TimePoint until)
+{
+    return std::chrono::duration<double>(until - from).count();
+}
+
+Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace
+
+double RankQueue::DecayingTime::valueAt(TimePoint now) const
+{
+    return seconds * std::exp2(-std::max(0.0, secondsBetween(at, now)) / shareHalfLifeSeconds);
+}
+
+void RankQueue::DecayingTime::add(double moreSeconds, TimePoint now)
+{
+    seconds = valueAt(now) + moreSeconds;
+    at = now;
+}
+
+RankQueue::RankQueue(const QueueLimits &limits) : m_limits(limits)
+{}
+
+std::optional<Outcome> RankQueue::offer(const QueuedWork &work, TimePoint now)
+{
+    RankState &state = m_ranks[work.rank];
+    if (state.waiting.size() >= m_limits.capacity) {
+        return Outcome::refusal(ErrorCode::QueueFull, expectedStart(work.rank, now));
+    }
+    if (work.deadline < now + meanService(work.rank)) {
+        return Outcome::refusal(ErrorCode::DeadlineUnreachable);
+    }
+    state.waiting[work.id] = work;
+    state.byDeadline.insert({work.deadline, work.id});
+    CustomerQueue &queue = state.customers[{work.customer, work.pinned}];
+    queue.connectionLimit = work.connectionLimit;
+    queue.byDeadline.insert({work.deadline, work.id});
+    return std::nullopt;
+}
+
+std::vector<QueueDecision> RankQueue::advance(TimePoint now, std::size_t freeConnections)
+{
+    std::vector<QueueDecision> decisions;
+    refuseLate(now, decisions);
+    while (m_running.size() < m_limits.slots) {
+        const auto rank = pickRank(now, freeConnections);
+        if (!rank) {
+            break;
+        }
+        const CustomerKey customer = nextCustomer(*rank, freeConnections).value();
+        const QueuedWork work = takeNext(*rank, customer);
+        m_running[work.id] = {*rank, customer, now};
+        ++m_ranks[*rank].running;
+        if (!work.pinned) {
+            --freeConnections;
+            holdConnection(work.customer);
+        }
+        decisions.push_back({work.id, Outcome{}});
+    }
+    return decisions;
+}
+
+void RankQueue::finished(WorkId id, TimePoint now)
+{
+    const auto found = m_running.find(id);
+    if (found == m_running.end()) {
+        return;
+    }
+    RankState &state = m_ranks[found->second.rank];
+    const double seconds = secondsBetween(found->second.startedAt, now);
+    state.used.add(seconds, now);
+    state.meanServiceSeconds
+        = state.meanServiceSeconds == 0 ? seconds : state.meanServiceSeconds + serviceSmoothing * (seconds - state.meanServiceSeconds);
+    --state.running;
+    if (!found->second.customer.pinned) {
+        releaseConnection(found->second.customer.customer);
+    }
+    m_running.erase(found);
+}
+
+void RankQueue::holdConnection(const CustomerId &customer)
+{
+    ++m_held[customer];
+}
+
+void RankQueue::releaseConnection(const CustomerId &customer)
+{
+    const auto found = m_held.find(customer);
+    if (found != m_held.end() && --found->second == 0) {
+        m_held.erase(found);
+    }
+}
+
+std::size_t RankQueue::heldConnections(const CustomerId &customer) const
+{
+    const auto found = m_held.find(customer);
+    return found == m_held.end() ? 0 : found->second;
+}
+
+bool RankQueue::cancel(WorkId id)
+{
+    for (const Rank rank : allRanks) {
+        if (m_ranks[rank].waiting.contains(id)) {
+            remove(m_ranks[rank], id);
+            return true;
+        }
+    }
+    return false;
+}
+
+double RankQueue::recentShare(Rank rank, TimePoint now) const
+{
+    double total = 0;
+    for (const Rank each : allRanks) {
+        total += usedSeconds(each, now);
+    }
+    return total == 0 ? 0 : usedSeconds(rank, now) / total;
+}
+
+TimePoint RankQueue::expectedStart(Rank rank, TimePoint now) const
+{
+    const double share = std::max(0.01, m_limits.weights[rank] / 100.0);
+    const double slots = static_cast<double>(std::max<std::size_t>(1, m_limits.slots));
+    const double backlog = std::chrono::duration<double>(meanService(rank)).count() * static_cast<double>(m_ranks[rank].waiting.size());
+    return now + fromSeconds(backlog / (slots * share));
+}
+
+Duration RankQueue::meanService(Rank rank) const
+{
+    const double measured = m_ranks[rank].meanServiceSeconds;
+    return measured == 0 ? m_limits.assumedService : fromSeconds(measured);
+}
+
+double RankQueue::usedSeconds(Rank rank, TimePoint now) const
+{
+    double seconds = m_ranks[rank].used.valueAt(now);
+    for (const auto &[id, running] : m_running) {
+        if (running.rank == rank) {
+            seconds += secondsBetween(running.startedAt, now);
+        }
+    }
+    return seconds;
+}
+
+bool RankQueue::isEligible(const CustomerKey &key, const CustomerQueue &queue, std::size_t freeConnections) const
+{
+    if (queue.byDeadline.empty()) {
+        return false;
+    }
+    return key.pinned || (!m_paused && freeConnections > 0 && heldConnections(key.customer) < queue.connectionLimit);
+}
+
+bool RankQueue::mayStart(Rank rank, std::size_t freeConnections) const
+{
+    if (!nextCustomer(rank, freeConnections)) {
+        return false;
+    }
+    if (rank == Rank::Urgent || meanService(rank) <= m_limits.longWork) {
+        return true;
+    }
+    const std::size_t lowRunning = m_ranks[Rank::Interactive].running + m_ranks[Rank::Batch].running;
+    return m_limits.slots == 1 || lowRunning + 1 < m_limits.slots;
+}
+
+std::optional<Rank> RankQueue::pickRank(TimePoint now, std::size_t freeConnections) const
+{
+    std::optional<Rank> first;
+    for (const Rank rank : allRanks) {
+        if (!mayStart(rank, freeConnections)) {
+            continue;
+        }
+        if (recentShare(rank, now) < m_limits.weights[rank] / 100.0) {
+            return rank;
+        }
+        first = first ? first : rank;
+    }
+    return first;
+}
+
+std::optional<RankQueue::CustomerKey> RankQueue::nextCustomer(Rank rank, std::size_t freeConnections) const
+{
+    const RankState &state = m_ranks[rank];
+    std::optional<CustomerKey> next;
+    double earliestStart = 0;
+    for (const auto &[key, queue] : state.customers) {
+        const double start = std::max(state.virtualTime, queue.finishTag);
+        if (isEligible(key, queue, freeConnections) && (!next || start < earliestStart)) {
+            next = key;
+            earliestStart = start;
+        }
+    }
+    return next;
+}
+
+QueuedWork RankQueue::takeNext(Rank rank, const CustomerKey &customer)
+{
+    constexpr double leastServiceSeconds = 1e-6;
+    RankState &state = m_ranks[rank];
+    CustomerQueue &queue = state.customers.at(customer);
+    state.virtualTime = std::max(state.virtualTime, queue.finishTag);
+    queue.finishTag = state.virtualTime + std::max(leastServiceSeconds, std::chrono::duration<double>(meanService(rank)).count());
+    const QueuedWork work = state.waiting.at(queue.byDeadline.begin()->id);
+    remove(state, work.id);
+    return work;
+}
+
+void RankQueue::remove(RankState &state, WorkId id)
+{
+    const QueuedWork work = state.waiting.at(id);
+    state.byDeadline.erase({work.deadline, id});
+    const CustomerKey key{work.customer, work.pinned};
+    CustomerQueue &queue = state.customers.at(key);
+    queue.byDeadline.erase({work.deadline, id});
+    if (queue.byDeadline.empty() && (queue.finishTag <= state.virtualTime || state.customers.size() > maxIdleCustomers)) {
+        state.customers.erase(key);
+    }
+    state.waiting.erase(id);
+}
+
+void RankQueue::refuseLate(TimePoint now, std::vector<QueueDecision> &decisions)
+{
+    for (const Rank rank : allRanks) {
+        RankState &state = m_ranks[rank];
+        const TimePoint mustStartBy = now + meanService(rank);
+        while (!state.byDeadline.empty() && state.byDeadline.begin()->deadline < mustStartBy) {
+            const WorkId id = state.byDeadline.begin()->id;
+            remove(state, id);
+            decisions.push_back({id, Outcome::refusal(ErrorCode::DeadlineUnreachable)});
+        }
+    }
+}
+
+} // namespace rattanbeam::decisions
--- /dev/null
+++ b/decisions/src/transactiontable.cpp
@@ -0,0 +1,75 @@
+#include "rattanbeam/decisions/transactiontable.h"
+
+#include <algorithm>
+
+namespace rattanbeam::decisions
+{
+
+TransactionId TransactionTable::open(const CustomerId &customer, ConnectionId connection, TimePoint idleDeadline)
+{
+    const TransactionId id = ++m_lastId;
+    m_transactions[id] = {customer, connection, false, false, idleDeadline};
+    return id;
+}
+
+OpenTransaction *TransactionTable::find(TransactionId id, const CustomerId &customer)
+{
+    const auto found = m_transactions.find(id);
+    if (found == m_transactions.end() || found->second.customer != customer) {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+std::optional<CustomerId> TransactionTable::breakOnConnection(ConnectionId connection)
+{
+    const auto found = std::find_if(m_transactions.begin(), m_transactions.end(), [connection](const auto &each) {
+        return each.second.connection == connection && !each.second.isBroken;
+    });
+    if (found == m_transactions.end()) {
+        return std::nullopt;
+    }
+    found->second.isBroken = true;
+    found->second.connection = 0;
+    const CustomerId customer = found->second.customer;
+    forgetBrokenBeyondLimit();
+    return customer;
+}
+
+void TransactionTable::close(TransactionId id)
+{
+    m_transactions.erase(id);
+}
+
+std::vector<ConnectionId> TransactionTable::expired(TimePoint now) const
+{
+    std::vector<ConnectionId> connections;
+    for (const auto &[id, transaction] : m_transactions) {
+        if (!transaction.isBusy && !transaction.isBroken && transaction.idleDeadline <= now) {
+            connections.push_back(transaction.connection);
+        }
+    }
+    return connections;
+}
+
+std::size_t TransactionTable::holding() const
+{
+    return static_cast<std::size_t>(std::count_if(m_transactions.begin(), m_transactions.end(), [](const auto &each) {
+        return !each.second.isBroken;
+    }));
+}
+
+void TransactionTable::forgetBrokenBeyondLimit()
+{
+    if (m_transactions.size() - holding() <= maxBroken) {
+        return;
+    }
+    const auto oldest = std::find_if(m_transactions.begin(), m_transactions.end(), [](const auto &each) {
+        return each.second.isBroken && !each.second.isBusy;
+    });
+    if (oldest != m_transactions.end()) {
+        m_transactions.erase(oldest);
+    }
+}
+
+} // namespace rattanbeam::decisions
--- /dev/null
+++ b/proxy/src/internal/entryservice.cpp
@@ -0,0 +1,475 @@
+#include "rattanbeam/proxy/internal/entryservice.h"
+
+#include "rattanbeam/kernel/logevent.h"
+#include "rattanbeam/protocol/conversions.h"
+
+#include <algorithm>
+
+namespace rattanbeam::proxy::internal
+{
+
+using decisions::ErrorCode;
+using decisions::Outcome;
+using decisions::Verdict;
+
+namespace
+{
+
+constexpr std::size_t maxRequestIdBytes = 128;
+constexpr std::size_t maxRequests = 20'000; // of one instance at once
+constexpr double retriesPerRequest = 0.2;
+constexpr double mostRetries = 500;
+constexpr std::chrono::milliseconds firstRetryPause{10};
+constexpr std::uint32_t mostRetryDoublings = 4;
+constexpr std::chrono::milliseconds replicaWait{20};
+constexpr std::chrono::milliseconds answerGrace{100}; // for a home's verdict to arrive after the deadline
+constexpr std::chrono::milliseconds leastRetryAfter{50};
+constexpr std::uint32_t mostAttempts = 64;
+
+decisions::BucketMedian &latencyOf(std::map<decisions::MemberId, decisions::BucketMedian> &latencies, const decisions::MemberId &member)
+{
+    return latencies[member];
+}
+
+std::string transactionText(const decisions::Route &route, const std::string &number)
+{
+    return route.instance.text() + '/' + route.member.text() + '/' + number;
+}
+
+bool continuesTransaction(peer::v1::Operation operation)
+{
+    return operation == peer::v1::COMMIT || operation == peer::v1::ROLLBACK;
+}
+
+} // namespace
+
+EntryService::EntryService(caf::actor_config &config, ServiceContextPtr context)
+    : caf::event_based_actor(config)
+    , m_context(std::move(context))
+    , m_fleet(std::make_shared<const decisions::FleetView>())
+    , m_sealer(m_context->settings.tokenKey, m_context->settings.previousTokenKey)
+    , m_router(decisions::ReadRouter<decisions::PowerOfTwoChoices>(1))
+    , m_retries(retriesPerRequest, mostRetries)
+{
+    const auto seed = static_cast<std::uint32_t>(decisions::stableHash(m_context->settings.instance.text()));
+    const std::string &choice = m_context->settings.experiment.replicaChoice;
+    if (choice == "least-in-flight") {
+        m_router.emplace<1>(seed);
+    } else if (choice == "latency-score") {
+        m_router.emplace<2>(seed);
+    } else {
+        m_router.emplace<0>(seed);
+    }
+}
+
+caf::behavior EntryService::make_behavior()
+{
+    return {
+        [this](const CallerRequest &message) {
+            arrived(message);
+        },
+        [this](const ForwardEnded &message) {
+            forwardEnded(message);
+        },
+        [this](const RetryDue &message) {
+            const auto found = m_requests.find(message.request);
+            if (found != m_requests.end() && found->second.isWaiting && found->second.attempts == message.attempt) {
+                attempt(message.request);
+            }
+        },
+        [this](const FleetChanged &message) {
+            fleetChanged(message.fleet);
+        },
+        [this](const DrainStarted &) {
+            m_draining = true;
+        },
+    };
+}
+
+void EntryService::arrived(const CallerRequest &message)
+{
+    ++m_context->entryRequests;
+    const std::uint64_t id = ++m_lastRequest;
+    Request &request = m_requests[id];
+    request.operation = message.operation;
+    request.message = message.request;
+    request.responder = message.responder;
+    request.arrivedAt = currentTime();
+    request.span = m_context->tracing->startSpan("entry", message.request->trace_context(), true);
+    const auto timeout = message.request->timeout_ms() == 0 ? m_context->settings.defaultTimeout
+                                                            : std::chrono::milliseconds(message.request->timeout_ms());
+    request.deadline = request.arrivedAt + timeout;
+    m_retries.earn();
+    if (const auto error = check(message, request)) {
+        answerFailure(id, Outcome::refusal(*error), {});
+        return;
+    }
+    attempt(id);
+}
+
+std::optional<ErrorCode> EntryService::check(const CallerRequest &message, Request &request) const
+{
+    const caller::v1::StatementRequest &statement = *message.request;
+    if (m_requests.size() > maxRequests) {
+        return ErrorCode::QueueFull;
+    }
+    if (statement.sql().size() > m_context->settings.maxStatementBytes || statement.request_id().size() > maxRequestIdBytes) {
+        return ErrorCode::RequestTooLarge;
+    }
+    const auto rank = protocol::toRank(statement.rank());
+    const bool isExecute = message.operation == peer::v1::EXECUTE;
+    if (!rank || (isExecute && (statement.sql().empty() || statement.access() == caller::v1::ACCESS_UNSPECIFIED))) {
+        return ErrorCode::MalformedRequest;
+    }
+    request.rank = *rank;
+    request.database = decisions::DatabaseName(statement.database());
+    request.isWrite = message.operation != peer::v1::EXECUTE || statement.access() == caller::v1::WRITE;
+    request.requestId = statement.request_id().empty() ? randomId() : statement.request_id();
+    if (const auto error = checkContract(statement, request)) {
+        return error;
+    }
+    const auto token = m_sealer.open(statement.session_token());
+    if (!token || !token->hasRoomFor(request.database)) {
+        return ErrorCode::BadSessionToken;
+    }
+    request.token = *token;
+    return checkTransaction(message, request);
+}
+
+std::optional<ErrorCode> EntryService::checkContract(const caller::v1::StatementRequest &message, Request &request) const
+{
+    const decisions::Contract *contract = m_fleet->contract(decisions::CustomerId(message.customer()));
+    if (contract == nullptr) {
+        return ErrorCode::NoContract;
+    }
+    if (!equalInConstantTime(sha256Hex(message.credential()), contract->credentialHash())) {
+        return ErrorCode::WrongCredential;
+    }
+    const auto terms = contract->databases().find(request.database);
+    if (terms == contract->databases().end() || m_fleet->group(request.database) == nullptr) {
+        return ErrorCode::UnknownDatabase;
+    }
+    const std::chrono::milliseconds asked(message.max_age_ms());
+    request.maxAge = asked.count() == 0 ? terms->second.maxAge : std::min(asked, terms->second.maxAge);
+    return std::nullopt;
+}
+
+std::optional<ErrorCode> EntryService::checkTransaction(const CallerRequest &message, Request &request) const
+{
+    const std::string &text = message.request->transaction();
+    if (text.empty()) {
+        if (message.operation == peer::v1::BEGIN && m_draining) {
+            return ErrorCode::Draining;
+        }
+        return continuesTransaction(message.operation) ? std::optional(ErrorCode::MalformedRequest) : std::nullopt;
+    }
+    const auto first = text.find('/');
+    const auto last = text.rfind('/');
+    if (message.operation == peer::v1::BEGIN || first == std::string::npos || last <= first) {
+        return ErrorCode::MalformedRequest;
+    }
+    request.transactionHome = decisions::InstanceId(text.substr(0, first));
+    request.transactionMember = decisions::MemberId(text.substr(first + 1, last - first - 1));
+    request.transactionNumber = text.substr(last + 1);
+    if (!m_fleet->group(request.database)->group.members.contains(request.transactionMember)) {
+        return ErrorCode::UnknownTransaction;
+    }
+    return std::nullopt;
+}
+
+void EntryService::attempt(std::uint64_t id)
+{
+    Request &request = m_requests.at(id);
+    request.isWaiting = false;
+    ++request.attempts;
+    if (currentTime() >= request.deadline || request.attempts > mostAttempts) {
+        answerFailure(id, Outcome::refusal(ErrorCode::DeadlineExceeded), {});
+        return;
+    }
+    const decisions::RouteOrOutcome route = chooseRoute(request);
+    if (const auto *outcome = std::get_if<Outcome>(&route)) {
+        failed(id, *outcome, {});
+        return;
+    }
+    request.route = std::get<decisions::Route>(route);
+    sendForward(id, request);
+}
+
+decisions::RouteOrOutcome EntryService::chooseRoute(Request &request)
+{
+    const auto at = currentTime();
+    if (!request.transactionNumber.empty()) {
+        return decisions::Route{request.transactionMember, request.transactionHome, false, true};
+    }
+    const decisions::StoredGroup *stored = m_fleet->group(request.database);
+    if (stored == nullptr) {
+        return Outcome::refusal(ErrorCode::UnknownDatabase);
+    }
+    if (!request.isWrite && !m_context->settings.experiment.readsOnPrimary) {
+        const decisions::ReadNeeds needs{request.token.position(request.database), request.maxAge, replicaWait};
+        const auto route = std::visit(
+            [&](auto &router) {
+                return router.route(*m_fleet, stored->group, m_views[request.database], needs, m_inFlight, request.tried, at);
+            },
+            m_router);
+        if (route) {
+            return *route;
+        }
+    }
+    return decisions::routeToPrimary(*m_fleet, stored->group, request.tried, at);
+}
+
+peer::v1::ForwardRequest EntryService::composeForward(const Request &request) const
+{
+    peer::v1::ForwardRequest forward;
+    forward.set_operation(request.operation);
+    forward.set_customer(request.message->customer());
+    forward.set_database(request.database.text());
+    forward.set_member(request.route->member.text());
+    forward.set_rank(request.message->rank());
+    forward.set_access(request.isWrite ? caller::v1::WRITE : caller::v1::READ);
+    forward.set_sql(request.message->sql());
+    forward.set_max_age_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(request.maxAge).count()));
+    forward.set_timeout_ms(decisions::millisecondsUntil(request.deadline, currentTime()));
+    forward.set_request_id(request.requestId);
+    forward.set_transaction(request.transactionNumber);
+    forward.set_substitute(request.route->isSubstitute);
+    forward.set_trace_context(request.forwardSpan.context());
+    const auto position = request.token.position(request.database);
+    if (!request.isWrite && position) {
+        *forward.mutable_required() = protocol::fromLogPosition(position->at);
+    }
+    return forward;
+}
+
+void EntryService::sendForward(std::uint64_t id, Request &request)
+{
+    const decisions::Route &route = *request.route;
+    request.forwardSpan = m_context->tracing->startSpan("forward", request.span.context());
+    request.forwardSpan.tag("to", route.instance.text());
+    ++m_inFlight[route.member];
+    const auto sentAt = currentTime();
+    const caf::actor service(this);
+    const std::uint32_t attempt = request.attempts;
+    const auto ended = [service, id, attempt, sentAt](CallResult result, const peer::v1::ForwardReply &reply) {
+        caf::anon_send(service, ForwardEnded{id, attempt, result, std::make_shared<const peer::v1::ForwardReply>(reply), sentAt});
+    };
+    if (route.instance == m_context->settings.instance) {
+        peer::v1::ForwardReply fallback;
+        *fallback.mutable_status() = protocol::fromOutcome(Outcome::doubt(ErrorCode::Internal), sentAt);
+        const auto responder = std::make_shared<Responder<peer::v1::ForwardReply>>(
+            [ended](const peer::v1::ForwardReply &reply) {
+                ended(CallResult::Answered, reply);
+            },
+            fallback);
+        send(m_context->registry.find(homeServiceName),
+             ForwardArrived{std::make_shared<const peer::v1::ForwardRequest>(composeForward(request)), request.deadline, responder});
+        return;
+    }
+    const decisions::InstanceRecord *instance = m_fleet->instance(route.instance);
+    if (instance == nullptr) {
+        ended(CallResult::NeverSent, {});
+        return;
+    }
+    m_context->peers.forward(instance->address, composeForward(request), request.deadline + answerGrace, ended);
+}
+
+void EntryService::endRoute(Request &request)
+{
+    if (!request.route) {
+        return;
+    }
+    const auto count = m_inFlight.find(request.route->member);
+    if (count != m_inFlight.end() && --count->second == 0) {
+        m_inFlight.erase(count);
+    }
+    request.forwardSpan.finish();
+}
+
+void EntryService::forwardEnded(const ForwardEnded &message)
+{
+    const auto found = m_requests.find(message.request);
+    if (found == m_requests.end() || found->second.attempts != message.attempt || !found->second.route) {
+        return;
+    }
+    Request &request = found->second;
+    endRoute(request);
+    if (message.result != CallResult::Answered) {
+        const bool neverSent = message.result == CallResult::NeverSent;
+        failed(message.request, neverSent ? Outcome::refusal(ErrorCode::PeerUnreachable) : Outcome::doubt(ErrorCode::PeerUnreachable), {});
+        return;
+    }
+    learnGroup(request, message);
+    const Outcome outcome = protocol::toOutcome(message.reply->status(), currentTime());
+    if (outcome.isSuccess()) {
+        succeed(message.request, message);
+    } else {
+        failed(message.request, outcome, message.reply->status().message());
+    }
+}
+
+void EntryService::learnGroup(const Request &request, const ForwardEnded &message)
+{
+    decisions::GroupView &view = m_views[request.database];
+    for (const auto &report : message.reply->group()) {
+        const decisions::MemberId member(report.status().member());
+        decisions::MemberSighting sighting = protocol::toSighting(report, message.sentAt);
+        const auto median = m_latencies.find(member);
+        if (median != m_latencies.end()) {
+            sighting.latency = median->second.value();
+        }
+        view.learn(member, sighting);
+    }
+    if (protocol::toOutcome(message.reply->status(), currentTime()).isSuccess()) {
+        latencyOf(m_latencies, request.route->member).record(currentTime() - message.sentAt);
+    }
+}
+
+void EntryService::fleetChanged(const std::shared_ptr<const decisions::FleetView> &fleet)
+{
+    const auto before = std::exchange(m_fleet, fleet);
+    std::vector<std::uint64_t> lost;
+    std::vector<std::uint64_t> woken;
+    for (const auto &[id, request] : m_requests) {
+        const auto *oldGroup = before->group(request.database);
+        const auto *newGroup = fleet->group(request.database);
+        const bool groupChanged = oldGroup == nullptr || newGroup == nullptr || oldGroup->version != newGroup->version;
+        if (request.isWaiting && groupChanged) {
+            woken.push_back(id);
+        } else if (!request.isWaiting && request.route && before->instance(request.route->instance) != nullptr
+                   && fleet->instance(request.route->instance) == nullptr && request.route->instance != m_context->settings.instance) {
+            lost.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : woken) {
+        attempt(id);
+    }
+    for (const std::uint64_t id : lost) {
+        Request &request = m_requests.at(id);
+        // A leaving instance still answers; a silent one is given up.
+        if (request.transactionNumber.empty()) {
+            endRoute(request);
+            failed(id, Outcome::doubt(ErrorCode::PeerUnreachable), {});
+        }
+    }
+    std::erase_if(m_views, [&](const auto &each) {
+        return fleet->group(each.first) == nullptr;
+    });
+}
+
+void EntryService::succeed(std::uint64_t id, const ForwardEnded &message)
+{
+    Request &request = m_requests.at(id);
+    const peer::v1::ForwardReply &forward = *message.reply;
+    caller::v1::StatementReply reply;
+    *reply.mutable_columns() = forward.columns();
+    *reply.mutable_rows() = forward.rows();
+    reply.set_rows_changed(forward.rows_changed());
+    reply.set_member(request.route->member.text());
+    reply.set_from_replica(forward.from_replica());
+    reply.set_repeated(forward.repeated());
+    if (!request.isWrite) {
+        reply.set_age_ms(forward.age_ms() + decisions::millisecondsUntil(currentTime(), message.sentAt));
+        m_context->metrics.count(forward.from_replica() ? "reads.replica" : "reads.primary");
+    }
+    if (!forward.transaction().empty()) {
+        reply.set_transaction(transactionText(*request.route, forward.transaction()));
+    } else if (request.operation == peer::v1::EXECUTE) {
+        reply.set_transaction(request.message->transaction());
+    }
+    const decisions::LogPosition at = protocol::toLogPosition(forward.at());
+    if (at.position > 0) {
+        request.token = request.token.observed(request.database, at, !forward.from_replica());
+    }
+    finish(id, reply, Outcome{}, {});
+}
+
+void EntryService::failed(std::uint64_t id, const Outcome &outcome, const std::string &text)
+{
+    Request &request = m_requests.at(id);
+    const bool inTransaction = !request.transactionNumber.empty();
+    request.isDoubted = request.isDoubted || (request.isWrite && outcome.verdict == Verdict::MayHaveRun);
+    const bool hasStoredId = request.operation == peer::v1::EXECUTE && !inTransaction;
+    const decisions::FailedAttempt attempted{outcome, request.isWrite, inTransaction, hasStoredId};
+    switch (decisions::decideRetry(attempted)) {
+    case decisions::RetryDecision::Answer:
+        answerFailure(id, outcome, text);
+        return;
+    case decisions::RetryDecision::RetryAtOnce:
+        noteFailedRoute(request, outcome);
+        if (request.attempts <= 2 && m_retries.spend()) {
+            attempt(id);
+            return;
+        }
+        break;
+    case decisions::RetryDecision::RetryLater:
+        noteFailedRoute(request, outcome);
+        break;
+    }
+    retryLater(id, outcome, text);
+}
+
+void EntryService::noteFailedRoute(Request &request, const Outcome &outcome)
+{
+    if (!request.route) {
+        return;
+    }
+    if (outcome.code == ErrorCode::NotCovered || outcome.code == ErrorCode::MemberUnreachable) {
+        request.tried.replicas.insert(request.route->member);
+    } else if (outcome.code == ErrorCode::PeerUnreachable || outcome.code == ErrorCode::Draining) {
+        request.tried.unreachable.insert(request.route->instance);
+    }
+    request.route.reset();
+}
+
+void EntryService::retryLater(std::uint64_t id, const Outcome &outcome, const std::string &text)
+{
+    Request &request = m_requests.at(id);
+    const auto pause = firstRetryPause * (1U << std::min(request.attempts, mostRetryDoublings));
+    if (currentTime() + pause >= request.deadline || !m_retries.spend()) {
+        Outcome last = outcome;
+        last.retryAt = std::max(last.retryAt, currentTime() + leastRetryAfter);
+        answerFailure(id, last, text);
+        return;
+    }
+    // What could not be reached may be back by then.
+    request.tried = {};
+    request.isWaiting = true;
+    delayed_send(this, pause, RetryDue{id, request.attempts});
+}
+
+void EntryService::answerFailure(std::uint64_t id, Outcome outcome, const std::string &text)
+{
+    Request &request = m_requests.at(id);
+    if (request.isDoubted) {
+        // An earlier attempt may still have run, whatever became of the last one.
+        outcome.verdict = Verdict::MayHaveRun;
+        request.token = request.token.doubted(request.database);
+    }
+    if (outcome.code == ErrorCode::PositionLost) {
+        request.token = request.token.forgotten(request.database);
+    }
+    caller::v1::StatementReply reply;
+    finish(id, reply, outcome, text);
+}
+
+void EntryService::finish(std::uint64_t id, caller::v1::StatementReply &reply, const Outcome &outcome, const std::string &text)
+{
+    Request &request = m_requests.at(id);
+    const auto at = currentTime();
+    *reply.mutable_status() = protocol::fromOutcome(outcome, at, text);
+    // A token that could not be opened is not replaced.
+    if (outcome.code != ErrorCode::BadSessionToken) {
+        reply.set_session_token(m_sealer.seal(request.token));
+    }
+    reply.set_trace_id(request.span.traceId());
+    m_context->metrics.count("entry.outcome." + std::string(decisions::errorName(outcome.code)));
+    m_context->metrics.record("entry." + std::string(decisions::rankName(request.rank)), at - request.arrivedAt);
+    request.span.tag("outcome", std::string(decisions::errorName(outcome.code)));
+    request.span.finish();
+    request.responder->answer(reply);
+    m_requests.erase(id);
+    --m_context->entryRequests;
+}
+
+} // namespace rattanbeam::proxy::internal
--- /dev/null
+++ b/proxy/src/internal/grpccall.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "rattanbeam/decisions/timepoint.h"
+#include "rattanbeam/proxy/internal/peerclient.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace rattanbeam::proxy::internal
+{
+
+constexpr int keepaliveTimeMs = 2000;
+constexpr int keepaliveTimeoutMs = 1000;
+constexpr int reconnectMs = 100;
+constexpr int longestReconnectMs = 500;
+
+/// What one asynchronous call needs until it has ended.
+template<typename Request, typename Reply>
+struct PendingCall {
+    grpc::ClientContext context;
+    Request request;
+    Reply reply;
+};
+
+inline std::chrono::system_clock::time_point toSystemTime(decisions::TimePoint deadline)
+{
+    const auto left = deadline - std::chrono::steady_clock::now();
+    return std::chrono::system_clock::now() + std::chrono::duration_cast<std::chrono::system_clock::duration>(left);
+}
+
+/// The library reports a failure to connect in words only; everything else may have been received.
+inline CallResult callResult(const grpc::Status &status)
+{
+    if (status.ok()) {
+        return CallResult::Answered;
+    }
+    const bool neverConnected
+        = status.error_code() == grpc::StatusCode::UNAVAILABLE && status.error_message().starts_with("failed to connect");
+    return neverConnected ? CallResult::NeverSent : CallResult::Lost;
+}
+
+inline grpc::ChannelArguments channelArguments(bool ownConnection)
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, keepaliveTimeMs);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepaliveTimeoutMs);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+    arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, reconnectMs);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, reconnectMs);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, longestReconnectMs);
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, ownConnection ? 1 : 0);
+    return arguments;
+}
+
+inline std::shared_ptr<grpc::Channel> openChannel(const std::string &address, bool ownConnection)
+{
+    return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), channelArguments(ownConnection));
+}
+
+/// One stub for each address.
+template<typename Service>
+class StubTable
+{
+public:
+    using Stub = typename Service::Stub;
+
+    std::shared_ptr<Stub> find(const std::string &address)
+    {
+        const std::lock_guard lock(m_mutex);
+        std::shared_ptr<Stub> &stub = m_stubs[address];
+        if (!stub) {
+            stub = Service::NewStub(openChannel(address, true));
+        }
+        return stub;
+    }
+    void replace(const std::string &address, std::shared_ptr<Stub> stub)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stubs[address] = std::move(stub);
+    }
+    void forget(const std::string &address)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stubs.erase(address);
+    }
+
+private:
+    std::mutex m_mutex;
+    std::map<std::string, std::shared_ptr<Stub>> m_stubs;
+};
+
+} // namespace rattanbeam::proxy::internal
