--- a/model/include/rattanbeam/model/memberlog.h
+++ b/model/include/rattanbeam/model/memberlog.h
@@ -154,7 +154,8 @@
         if (m_role != MemberRole::Follower || batch.term != m_term) {
             return end();
         }
-        const std::uint64_t kept = commonPrefix(m_history, end(), batch.history, batch.primaryEnd);
+        // A reconciled log is a prefix of the primary's; a batch that comes late must not shorten it.
+        const std::uint64_t kept = m_reconciled ? end() : commonPrefix(m_history, end(), batch.history, batch.primaryEnd);
         m_entries.resize(kept);
         m_history.truncate(kept);
         for (const Entry &entry : batch.entries) {
