--- a/standins/apps/backend.cpp
+++ b/standins/apps/backend.cpp
@@ -70,7 +70,7 @@
         const std::lock_guard lock(m_mutex);
         if (address != m_address) {
             m_address = address;
-            m_stub = backend::v1::Member::NewStub(grpc::CreateChannel(address, grpc::InsecureChannelCredentials()));
+            connect();
         }
     }
     void setCut(bool isCut)
@@ -79,6 +79,14 @@
     }
 
 private:
+    /// A connection of its own, not one that the library shares.
+    void connect()
+    {
+        grpc::ChannelArguments arguments;
+        arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+        m_stub = backend::v1::Member::NewStub(grpc::CreateCustomChannel(m_address, grpc::InsecureChannelCredentials(), arguments));
+    }
+
     void loop()
     {
         while (!m_stopping) {
@@ -107,7 +115,13 @@
         grpc::ClientContext context;
         context.set_deadline(std::chrono::system_clock::now() + 2s);
         backend::v1::PullReply reply;
-        if (!stub->Pull(&context, request, &reply).ok() || reply.term() == 0) {
+        if (!stub->Pull(&context, request, &reply).ok()) {
+            // The old connection may have gone silent for good.
+            const std::lock_guard lock(m_mutex);
+            connect();
+            return false;
+        }
+        if (reply.term() == 0) {
             return false;
         }
         std::this_thread::sleep_for(m_member.shipLag());
