--- a/decisions/include/rattanbeam/decisions/fleetview.h
+++ b/decisions/include/rattanbeam/decisions/fleetview.h
@@ -57,7 +57,7 @@
 /// Keeps a FleetView up to date; only what changed is read again.
 ///
 ///     builder.apply(object);
-///     builder.setInstances(membership.live(now));
+///     builder.setInstances(membership.recent(now));
 ///     publish(builder.view());
 class FleetBuilder
 {
@@ -68,8 +68,8 @@
     /// Takes a changed object. An object that cannot be read leaves what was known, and returns why.
     std::optional<ConfigError> apply(const ConfigObject &object);
 
-    /// True if the set of live instances changed.
-    bool setInstances(const std::vector<InstanceRecord> &live);
+    /// True if the instances changed. Leaving ones are still reached for what they finish, but are home to nothing.
+    bool setInstances(const std::vector<InstanceRecord> &recent);
 
     /// Makes this instance the home of every member, each with its own share: the baseline of measurements.
     void setOnlyHome(const InstanceId &self)
--- a/decisions/src/fleetview.cpp
+++ b/decisions/src/fleetview.cpp
@@ -88,10 +88,10 @@
     return std::nullopt;
 }
 
-bool FleetBuilder::setInstances(const std::vector<InstanceRecord> &live)
+bool FleetBuilder::setInstances(const std::vector<InstanceRecord> &recent)
 {
     std::map<InstanceId, InstanceRecord> instances;
-    for (const InstanceRecord &record : live) {
+    for (const InstanceRecord &record : recent) {
         instances[record.id] = record;
         // Heartbeats grow all the time and change no decision.
         instances[record.id].heartbeat = 0;
@@ -130,7 +130,9 @@
     }
     std::vector<LiveInstance> live;
     for (const auto &[id, record] : m_instances) {
-        live.push_back({id, record.domain});
+        if (!record.leaving) {
+            live.push_back({id, record.domain});
+        }
     }
     if (m_onlyHome.isEmpty()) {
         m_view.m_homes = std::make_shared<std::map<MemberId, HomeOrder>>(assignHomes(seekers, live, loadFactor));
--- a/proxy/src/internal/relayservice.cpp
+++ b/proxy/src/internal/relayservice.cpp
@@ -81,7 +81,7 @@
     }
     std::vector<decisions::InstanceId> domain;
     for (const auto &[id, record] : m_fleet->instances()) {
-        if (record.domain == m_context->settings.domain) {
+        if (record.domain == m_context->settings.domain && !record.leaving) {
             domain.push_back(id);
         }
     }
--- a/proxy/src/internal/stateservice.cpp
+++ b/proxy/src/internal/stateservice.cpp
@@ -87,7 +87,7 @@
     const auto at = currentTime();
     m_membership.heard(self(), at);
     m_membership.forgetOld(at);
-    publishIfChanged(m_builder.setInstances(m_membership.live(at)));
+    publishIfChanged(m_builder.setInstances(m_membership.recent(at)));
     for (const std::string &address : exchangeTargets()) {
         exchangeWith(address);
     }
@@ -169,7 +169,7 @@
             m_membership.heard(record, at);
         }
     }
-    publishIfChanged(m_builder.setInstances(m_membership.live(at)));
+    publishIfChanged(m_builder.setInstances(m_membership.recent(at)));
     if (message->objects_size() > 0 || message->objects_complete_to() > m_store.completeTo()) {
         ConfigChanges changes;
         changes.after = message->objects_after();
