--- a/decisions/include/rattanbeam/decisions/logposition.h
+++ b/decisions/include/rattanbeam/decisions/logposition.h
@@ -41,7 +41,7 @@
 {
 public:
     TermHistory() = default;
-    explicit TermHistory(std::vector<TermStart> starts);
+    explicit TermHistory(const std::vector<TermStart> &starts);
 
     /// Adds a later term. A term that is not later than the last is ignored.
     void append(TermStart start);
--- a/decisions/include/rattanbeam/decisions/memberhome.h
+++ b/decisions/include/rattanbeam/decisions/memberhome.h
@@ -39,6 +39,8 @@
     std::optional<LogPosition> required;
     /// Read: oldest data accepted.
     Duration maxAge{};
+    /// Read: how long it may wait for a replica to catch up.
+    Duration maxWait{};
     TransactionId transaction = 0;
 
     auto operator<=>(const HomeRequest &) const = default;
@@ -93,8 +95,6 @@
     Duration transactionIdle = std::chrono::seconds(10);
     /// Other members not heard for this long cannot be counted on to confirm.
     Duration confirmSilence = std::chrono::milliseconds(800);
-    /// How long a read may wait here for a replica to catch up.
-    Duration coverageWait = std::chrono::milliseconds(50);
     /// Other members that must hold a write before it is acknowledged.
     std::size_t othersNeeded = 1;
 
--- a/decisions/include/rattanbeam/decisions/rankqueue.h
+++ b/decisions/include/rattanbeam/decisions/rankqueue.h
@@ -38,6 +38,8 @@
     std::size_t slots = 1;
     /// Waiting statements of each rank.
     std::size_t capacity = 256;
+    /// Longest wait that new work may expect; beyond it the queue counts as full.
+    PerRank<Duration> longestWait;
     /// Percent of the slots' time that each rank keeps when others flood.
     PerRank<std::uint32_t> weights;
     /// Work of a rank that usually takes longer than this may not hold the last free slot, unless it is urgent.
@@ -164,6 +166,7 @@
     std::optional<CustomerKey> nextCustomer(Rank rank, std::size_t freeConnections) const;
     QueuedWork takeNext(Rank rank, const CustomerKey &customer);
     void remove(RankState &state, WorkId id);
+    bool isFull(Rank rank, TimePoint now) const;
     bool makeRoom(const QueuedWork &work, TimePoint now);
     void refuseLate(TimePoint now, std::vector<QueueDecision> &decisions);
 
--- a/decisions/include/rattanbeam/decisions/router.h
+++ b/decisions/include/rattanbeam/decisions/router.h
@@ -65,7 +65,7 @@
         for (const auto &[member, place] : group.members) {
             const MemberSighting *sighting = view.find(member);
             if (member == group.primary || tried.replicas.contains(member)
-                || !isWorthTrying(needs, sighting, view.applyRate(member), now)) {
+                || !isWorthTrying(needs, sighting, view.applyRate(member), tried, now)) {
                 continue;
             }
             ReadCandidate candidate{member, false, false, 0, 0, {}};
@@ -83,7 +83,11 @@
 
 private:
     /// A member that was never seen is worth a try: its home knows better.
-    static bool isWorthTrying(const ReadNeeds &needs, const MemberSighting *sighting, double applyRate, TimePoint now)
+    static bool isWorthTrying(const ReadNeeds &needs,
+                              const MemberSighting *sighting,
+                              double applyRate,
+                              const TriedRoutes &tried,
+                              TimePoint now)
     {
         if (needs.session && needs.session->primaryNext) {
             return false;
@@ -92,11 +96,17 @@
             return !needs.session;
         }
         const ReadFitness fitness = judgeReplica(needs, *sighting, applyRate, now);
-        // An entry's knowledge of ages is as old as its last answer from the group.
-        const bool mayBeFresh = fitness == ReadFitness::TooOld && now - sighting->seenAt > needs.maxAge / 2;
-        return fitness == ReadFitness::Fit || fitness == ReadFitness::FitAfterWait || mayBeFresh;
+        if (fitness == ReadFitness::Fit || fitness == ReadFitness::FitAfterWait) {
+            return true;
+        }
+        // What this entry knows is as old as its last answer from the group. A replica that looked unfit then is worth
+        // one try: a wrong one costs a hop, a right one spares the primary.
+        const bool mayHaveChanged = fitness == ReadFitness::Behind || fitness == ReadFitness::TooOld;
+        return mayHaveChanged && tried.replicas.empty() && now - sighting->seenAt > oldSighting;
     }
 
+    static constexpr std::chrono::milliseconds oldSighting{50};
+
     std::minstd_rand m_random;
     Policy m_policy;
 };
--- a/decisions/src/logposition.cpp
+++ b/decisions/src/logposition.cpp
@@ -5,7 +5,7 @@
 namespace rattanbeam::decisions
 {
 
-TermHistory::TermHistory(std::vector<TermStart> starts)
+TermHistory::TermHistory(const std::vector<TermStart> &starts)
 {
     for (const TermStart &start : starts) {
         append(start);
--- a/decisions/src/memberhome.cpp
+++ b/decisions/src/memberhome.cpp
@@ -43,7 +43,7 @@
     HomeActions actions;
     if (const auto refusal = refuse(request, now)) {
         if (refusal->code == ErrorCode::NotCovered && mayParkForCoverage(request)) {
-            m_parked[request.id] = {request, std::min(request.deadline, now + m_limits.coverageWait)};
+            m_parked[request.id] = {request, std::min(request.deadline, now + request.maxWait)};
         } else {
             reply(request, *refusal, actions);
         }
--- a/decisions/src/rankqueue.cpp
+++ b/decisions/src/rankqueue.cpp
@@ -43,7 +43,7 @@
 std::optional<Outcome> RankQueue::offer(const QueuedWork &work, TimePoint now)
 {
     RankState &state = m_ranks[work.rank];
-    if (state.waiting.size() >= m_limits.capacity && !makeRoom(work, now)) {
+    if (isFull(work.rank, now) && !makeRoom(work, now)) {
         return Outcome::refusal(ErrorCode::QueueFull, expectedStart(work.rank, now));
     }
     if (work.deadline < now + meanService(work.rank)) {
@@ -57,6 +57,12 @@
     return std::nullopt;
 }
 
+bool RankQueue::isFull(Rank rank, TimePoint now) const
+{
+    const Duration longest = m_limits.longestWait[rank];
+    return m_ranks[rank].waiting.size() >= m_limits.capacity || (longest > Duration::zero() && expectedStart(rank, now) > now + longest);
+}
+
 bool RankQueue::makeRoom(const QueuedWork &work, TimePoint now)
 {
     RankState &state = m_ranks[work.rank];
@@ -155,7 +161,8 @@
 
 TimePoint RankQueue::expectedStart(Rank rank, TimePoint now) const
 {
-    const double share = std::max(0.01, m_limits.weights[rank] / 100.0);
+    // What the rank is sure of, or what it has had lately while others left it more.
+    const double share = std::max({0.01, m_limits.weights[rank] / 100.0, recentShare(rank, now)});
     const double slots = static_cast<double>(std::max<std::size_t>(1, m_limits.slots));
     const double backlog = std::chrono::duration<double>(meanService(rank)).count() * static_cast<double>(m_ranks[rank].waiting.size());
     return now + fromSeconds(backlog / (slots * share));
@@ -235,7 +242,7 @@
     CustomerQueue &queue = state.customers.at(customer);
     state.virtualTime = std::max(state.virtualTime, queue.finishTag);
     queue.finishTag = state.virtualTime + std::max(leastServiceSeconds, std::chrono::duration<double>(meanService(rank)).count());
-    const QueuedWork work = state.waiting.at(queue.byDeadline.begin()->id);
+    QueuedWork work = state.waiting.at(queue.byDeadline.begin()->id);
     remove(state, work.id);
     return work;
 }
--- a/decisions/test/membership_test.cpp
+++ b/decisions/test/membership_test.cpp
@@ -66,6 +66,8 @@
         const auto instanceCount = *rc::gen::inRange<std::size_t>(2, 12);
         std::vector<HomeSeeker> members;
         std::vector<LiveInstance> instances;
+        members.reserve(memberCount);
+        instances.reserve(instanceCount);
         for (std::size_t i = 0; i < memberCount; ++i) {
             members.push_back({MemberId("m" + std::to_string(i)), FailureDomain(std::string(1, static_cast<char>('a' + i % 3)))});
         }
@@ -98,6 +100,8 @@
 {
     std::vector<HomeSeeker> members;
     std::vector<LiveInstance> instances;
+    members.reserve(9);
+    instances.reserve(3);
     for (int i = 0; i < 9; ++i) {
         members.push_back({MemberId("m" + std::to_string(i)), FailureDomain("a")});
     }
--- a/kernel/include/rattanbeam/kernel/settings.h
+++ b/kernel/include/rattanbeam/kernel/settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanbeam/decisions/identifiers.h"
+#include "rattanbeam/decisions/rank.h"
 #include "rattanbeam/decisions/result.h"
 #include "rattanbeam/kernel/logevent.h"
 
@@ -57,6 +58,8 @@
     std::chrono::milliseconds peerSilence{};
     std::chrono::milliseconds drainLimit{};
     std::chrono::milliseconds transactionIdle{};
+    /// Longest wait in a home's queue that new work may expect, by rank.
+    decisions::PerRank<std::chrono::milliseconds> queueWait;
     std::uint32_t queueCapacity = 0;
     std::uint32_t maxStatementBytes = 0;
     std::uint32_t threads = 0;
--- a/kernel/src/settings.cpp
+++ b/kernel/src/settings.cpp
@@ -96,6 +96,9 @@
     settings.defaultTimeout = reader.duration("limits", "default-timeout", {10, 600'000}, 5s);
     settings.drainLimit = reader.duration("limits", "drain", {100, 600'000}, 30s);
     settings.transactionIdle = reader.duration("limits", "transaction-idle", {100, 600'000}, 10s);
+    settings.queueWait[decisions::Rank::Urgent] = reader.duration("limits", "queue-wait-urgent", {1, 600'000}, 300ms);
+    settings.queueWait[decisions::Rank::Interactive] = reader.duration("limits", "queue-wait-interactive", {1, 600'000}, 500ms);
+    settings.queueWait[decisions::Rank::Batch] = reader.duration("limits", "queue-wait-batch", {1, 600'000}, 2s);
     settings.queueCapacity = static_cast<std::uint32_t>(reader.integer("limits", "queue-capacity", {1, 100'000}, 256));
     settings.maxStatementBytes = static_cast<std::uint32_t>(reader.integer("limits", "statement-bytes", {64, 4'000'000}, 1'000'000));
 }
--- a/proxy/include/rattanbeam/proxy/internal/observerservice.h
+++ b/proxy/include/rattanbeam/proxy/internal/observerservice.h
@@ -33,6 +33,10 @@
     std::set<decisions::MemberId> ownMembersOf(const decisions::DatabaseGroup &group) const;
     void peerReported(const PeerReports &reports);
     void probeEnded(const ProbeEnded &message);
+    void observeMember(const decisions::MemberId &member);
+    void groupWritten(const GroupWritten &message);
+    void groupRead(const GroupRead &message);
+    void learnObject(const decisions::ConfigObject &object);
     void perform(const decisions::DatabaseName &database, const decisions::ObserverActions &actions);
     void performOne(const decisions::GroupObserver &observer, const decisions::ProbeMember &probe);
     void performOne(const decisions::GroupObserver &observer, const decisions::FollowPrimary &follow);
--- a/proxy/src/internal/entryservice.cpp
+++ b/proxy/src/internal/entryservice.cpp
@@ -21,7 +21,6 @@
 constexpr double mostRetries = 500;
 constexpr std::chrono::milliseconds firstRetryPause{10};
 constexpr std::uint32_t mostRetryDoublings = 4;
-constexpr std::chrono::milliseconds replicaWait{20};
 constexpr std::chrono::milliseconds answerGrace{100}; // for a home's verdict to arrive after the deadline
 constexpr std::chrono::milliseconds leastRetryAfter{50};
 constexpr std::uint32_t mostAttempts = 64;
@@ -36,6 +35,20 @@
     return route.instance.text() + '/' + route.member.text() + '/' + number;
 }
 
+/// How long a read waits for a replica rather than burden the primary: work of lower rank has more time than slots.
+std::chrono::milliseconds replicaWait(decisions::Rank rank)
+{
+    switch (rank) {
+    case decisions::Rank::Urgent:
+        return std::chrono::milliseconds(5);
+    case decisions::Rank::Interactive:
+        return std::chrono::milliseconds(20);
+    case decisions::Rank::Batch:
+        break;
+    }
+    return std::chrono::milliseconds(500);
+}
+
 bool continuesTransaction(peer::v1::Operation operation)
 {
     return operation == peer::v1::COMMIT || operation == peer::v1::ROLLBACK;
@@ -206,7 +219,7 @@
         return Outcome::refusal(ErrorCode::UnknownDatabase);
     }
     if (!request.isWrite && !m_context->settings.experiment.readsOnPrimary) {
-        const decisions::ReadNeeds needs{request.token.position(request.database), request.maxAge, replicaWait};
+        const decisions::ReadNeeds needs{request.token.position(request.database), request.maxAge, replicaWait(request.rank)};
         const auto route = std::visit(
             [&](auto &router) {
                 return router.route(*m_fleet, stored->group, m_views[request.database], needs, m_inFlight, request.tried, at);
@@ -230,6 +243,7 @@
     forward.set_access(request.isWrite ? caller::v1::WRITE : caller::v1::READ);
     forward.set_sql(request.message->sql());
     forward.set_max_age_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(request.maxAge).count()));
+    forward.set_max_wait_ms(static_cast<std::uint32_t>(replicaWait(request.rank).count()));
     forward.set_timeout_ms(decisions::millisecondsUntil(request.deadline, currentTime()));
     forward.set_request_id(request.requestId);
     forward.set_transaction(request.transactionNumber);
--- a/proxy/src/internal/homeservice.cpp
+++ b/proxy/src/internal/homeservice.cpp
@@ -242,6 +242,10 @@
     limits.queue.slots = group.slots;
     limits.queue.capacity = m_context->settings.queueCapacity;
     limits.queue.weights = weightsFor(group.database);
+    for (const decisions::Rank rank : decisions::allRanks) {
+        // The baseline's single queue is bounded by its length only.
+        limits.queue.longestWait[rank] = experiment.singleQueue ? decisions::Duration::zero() : m_context->settings.queueWait[rank];
+    }
     limits.transactionIdle = m_context->settings.transactionIdle;
     limits.othersNeeded = experiment.confirmWrites ? group.majority() - 1 : 0;
     const std::uint32_t reserved = reservedConnections(group.connections);
@@ -320,6 +324,7 @@
     wanted.customer = decisions::CustomerId(request.customer());
     wanted.deadline = message.deadline;
     wanted.maxAge = std::chrono::milliseconds(request.max_age_ms());
+    wanted.maxWait = std::chrono::milliseconds(request.max_wait_ms());
     wanted.transaction = toTransactionId(request.transaction());
     wanted.connectionLimit = connectionLimit(wanted.customer, home->database);
     if (request.has_required()) {
--- a/proxy/src/internal/observerservice.cpp
+++ b/proxy/src/internal/observerservice.cpp
@@ -57,12 +57,7 @@
             }
         },
         [this](const ObserveMember &message) {
-            const bool isNew = !m_standIns.contains(message.member);
-            m_standIns[message.member] = currentTime() + standInHold;
-            if (isNew && m_fleet) {
-                fleetChanged(m_fleet);
-                tick();
-            }
+            observeMember(message.member);
         },
         [this](const HomeLoad &message) {
             for (auto &[database, observer] : m_observers) {
@@ -85,30 +80,56 @@
             }
         },
         [this](const GroupWritten &message) {
-            const auto found = m_observers.find(message.database);
-            if (found == m_observers.end()) {
-                return;
-            }
-            const auto stored = message.outcome ? toStoredGroup(message.outcome->object) : std::nullopt;
-            if (!stored) {
-                perform(message.database, found->second.writeUnanswered(message.attempt, currentTime()));
-                return;
-            }
-            send(m_context->registry.find(stateServiceName), ConfigArrived{{UINT64_MAX, 0, {message.outcome->object}}});
-            perform(message.database, found->second.written(message.attempt, message.outcome->isApplied, *stored, currentTime()));
+            groupWritten(message);
         },
         [this](const GroupRead &message) {
-            const auto found = m_observers.find(message.database);
-            const auto stored = message.object ? toStoredGroup(*message.object) : std::nullopt;
-            if (found != m_observers.end() && stored) {
-                send(m_context->registry.find(stateServiceName), ConfigArrived{{UINT64_MAX, 0, {*message.object}}});
-                perform(message.database, found->second.readBack(message.attempt, *stored, currentTime()));
-            }
+            groupRead(message);
         },
         [](const DrainStarted &) {},
     };
 }
 
+void ObserverService::observeMember(const MemberId &member)
+{
+    const bool isNew = !m_standIns.contains(member);
+    m_standIns[member] = currentTime() + standInHold;
+    if (isNew && m_fleet) {
+        fleetChanged(m_fleet);
+        tick();
+    }
+}
+
+void ObserverService::groupWritten(const GroupWritten &message)
+{
+    const auto found = m_observers.find(message.database);
+    if (found == m_observers.end()) {
+        return;
+    }
+    const auto stored = message.outcome ? toStoredGroup(message.outcome->object) : std::nullopt;
+    if (!stored) {
+        perform(message.database, found->second.writeUnanswered(message.attempt, currentTime()));
+        return;
+    }
+    learnObject(message.outcome->object);
+    perform(message.database, found->second.written(message.attempt, message.outcome->isApplied, *stored, currentTime()));
+}
+
+void ObserverService::groupRead(const GroupRead &message)
+{
+    const auto found = m_observers.find(message.database);
+    const auto stored = message.object ? toStoredGroup(*message.object) : std::nullopt;
+    if (found != m_observers.end() && stored) {
+        learnObject(*message.object);
+        perform(message.database, found->second.readBack(message.attempt, *stored, currentTime()));
+    }
+}
+
+/// A single object says nothing of the changes before it.
+void ObserverService::learnObject(const decisions::ConfigObject &object)
+{
+    send(m_context->registry.find(stateServiceName), ConfigArrived{{UINT64_MAX, 0, {object}}});
+}
+
 void ObserverService::tick()
 {
     std::erase_if(m_standIns, [at = currentTime()](const auto &each) {
--- a/proxy/src/internal/server.cpp
+++ b/proxy/src/internal/server.cpp
@@ -149,7 +149,7 @@
     std::unique_ptr<grpc::Server> server;
 };
 
-Server::Server(ServiceContextPtr context) : m_parts(std::make_unique<Parts>(context))
+Server::Server(const ServiceContextPtr &context) : m_parts(std::make_unique<Parts>(context))
 {}
 
 Server::~Server()
--- a/proxy/src/internal/server.h
+++ b/proxy/src/internal/server.h
@@ -12,7 +12,7 @@
 class Server
 {
 public:
-    explicit Server(ServiceContextPtr context);
+    explicit Server(const ServiceContextPtr &context);
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
     ~Server();
--- a/standins/include/rattanbeam/standins/workload.h
+++ b/standins/include/rattanbeam/standins/workload.h
@@ -31,7 +31,7 @@
     auto operator<=>(const Mix &) const = default;
 };
 
-/// `order-desk` (Tiza Alegre) or `rota` (Kutház).
+/// `order-desk` (Tiza Alegre), `rota` (Kutház) or `writes`, which are urgent writes only.
 std::optional<Mix> mixByName(const std::string &name);
 
 /// One kind of work that arrives in excess.
--- a/standins/src/workload.cpp
+++ b/standins/src/workload.cpp
@@ -21,6 +21,10 @@
         mix.ranks[Rank::Batch] = {.share = 0.10, .isWrite = false, .workMs = 18, .maxAgeMs = 10000};
         return mix;
     }
+    if (name == "writes") {
+        mix.ranks[Rank::Urgent] = {.share = 1, .isWrite = true, .workMs = 0, .maxAgeMs = 0};
+        return mix;
+    }
     return std::nullopt;
 }
 
--- /dev/null
+++ b/systemtests/apps/measure.cpp
@@ -0,0 +1,234 @@
+// rattanbeam-measure: figures that need faults or a direct comparison with a backend server.
+//
+//   rattanbeam-measure gap KIND COUNT      gaps in writes over COUNT failovers by kill, freeze, cut or leave
+//   rattanbeam-measure overhead            added latency, and statements a second of one core
+
+#include "rattanbeam/systemtests/testfleet.h"
+
+#include "backend.grpc.pb.h"
+#include "caller.grpc.pb.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <grpcpp/grpcpp.h>
+#include <iostream>
+#include <sstream>
+#include <unistd.h>
+
+namespace
+{
+
+using namespace rattanbeam;
+using namespace std::chrono_literals;
+using systemtests::Relay;
+using systemtests::TestFleet;
+using systemtests::Writers;
+using Clock = std::chrono::steady_clock;
+
+struct GapResult {
+    std::chrono::milliseconds gap{};
+    std::string problems;
+};
+
+GapResult failOverOnce(const std::string &kind)
+{
+    TestFleet fleet;
+    Writers writers(fleet, 4);
+    writers.waitForAcknowledged(200, 20s);
+    if (kind == "kill") {
+        fleet.member("a").kill(SIGKILL);
+    } else if (kind == "freeze") {
+        fleet.member("a").kill(SIGSTOP);
+    } else if (kind == "cut") {
+        fleet.memberRelay("a").setMode(Relay::Mode::Silent);
+    } else {
+        backend::v1::FaultRequest leaving;
+        leaving.set_leaving(true);
+        leaving.set_apply_lag_ms(50);
+        leaving.set_ship_lag_ms(1);
+        fleet.setMemberFaults("a", leaving);
+        std::this_thread::sleep_for(1s);
+    }
+    std::this_thread::sleep_for(100ms);
+    writers.waitForAcknowledged(200, 30s);
+    writers.stop();
+    const GapResult result{writers.longestGap(), systemtests::audit(fleet, writers)};
+    return result;
+}
+
+int measureGaps(const std::string &kind, int count)
+{
+    std::vector<std::chrono::milliseconds> gaps;
+    std::string problems;
+    for (int i = 0; i < count; ++i) {
+        const GapResult result = failOverOnce(kind);
+        gaps.push_back(result.gap);
+        problems += result.problems;
+    }
+    std::sort(gaps.begin(), gaps.end());
+    std::cout << "failover " << kind << ": " << count << " runs, gap in writes median " << gaps[gaps.size() / 2].count() << " ms, worst "
+              << gaps.back().count() << " ms; promises broken: " << (problems.empty() ? "none" : problems) << std::endl;
+    return problems.empty() ? 0 : 1;
+}
+
+struct Latencies {
+    std::vector<double> microseconds;
+
+    double quantile(double q)
+    {
+        std::sort(microseconds.begin(), microseconds.end());
+        return microseconds[static_cast<std::size_t>(q * static_cast<double>(microseconds.size() - 1))];
+    }
+};
+
+template<typename Operation>
+Latencies timeEach(int count, Operation operation)
+{
+    Latencies latencies;
+    for (int i = 0; i < count; ++i) {
+        const auto start = Clock::now();
+        operation();
+        latencies.microseconds.push_back(std::chrono::duration<double, std::micro>(Clock::now() - start).count());
+    }
+    return latencies;
+}
+
+/// Processor time of a process so far, in seconds.
+double processorSeconds(pid_t pid)
+{
+    std::ifstream stream("/proc/" + std::to_string(pid) + "/stat");
+    std::string text((std::istreambuf_iterator<char>(stream)), std::istreambuf_iterator<char>());
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::string field;
+    double ticks = 0;
+    for (int i = 0; i < 13 && fields >> field; ++i) {
+        ticks += i >= 11 ? std::stod(field) : 0;
+    }
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+long residentKilobytes(pid_t pid)
+{
+    std::ifstream stream("/proc/" + std::to_string(pid) + "/status");
+    for (std::string line; std::getline(stream, line);) {
+        if (line.starts_with("VmRSS:")) {
+            return std::stol(line.substr(6));
+        }
+    }
+    return 0;
+}
+
+void report(const std::string &what, Latencies &latencies)
+{
+    std::cout << what << ": p50 " << static_cast<int>(latencies.quantile(0.5)) << " us, p99 " << static_cast<int>(latencies.quantile(0.99)) << " us"
+              << std::endl;
+}
+
+void measureLatency(TestFleet &fleet)
+{
+    constexpr int count = 2000;
+    const auto channel = grpc::CreateChannel(fleet.member("a").address(), grpc::InsecureChannelCredentials());
+    const auto member = backend::v1::Member::NewStub(channel);
+    grpc::ClientContext streamContext;
+    const auto stream = member->Connect(&streamContext);
+    backend::v1::StatementFrame frame;
+    frame.set_kind(backend::v1::SINGLE);
+    frame.set_access(caller::v1::READ);
+    frame.set_sql("SELECT 1");
+    Latencies direct = timeEach(count, [&] {
+        backend::v1::AnswerFrame answer;
+        stream->Write(frame);
+        stream->Read(&answer);
+    });
+    streamContext.TryCancel();
+    const auto through = [&](const std::string &address, caller::v1::StatementRequest request) {
+        const auto stub = caller::v1::Statements::NewStub(grpc::CreateChannel(address, grpc::InsecureChannelCredentials()));
+        return timeEach(count, [&] {
+            grpc::ClientContext context;
+            caller::v1::StatementReply reply;
+            stub->Execute(&context, request, &reply);
+        });
+    };
+    const auto primary = fleet.executeUntilDone("a", fleet.write("DELETE FROM t WHERE id='none'"));
+    caller::v1::StatementRequest read = fleet.read("SELECT 1");
+    Latencies entry = through(fleet.instance("a").address(), read);
+    Latencies writes = through(fleet.instance("a").address(), fleet.write("DELETE FROM t WHERE id='none'"));
+    Latencies remoteWrites = through(fleet.instance("b").address(), fleet.write("DELETE FROM t WHERE id='none'"));
+    report("read, direct to the member", direct);
+    report("read through the proxy (any replica)", entry);
+    report("write through the primary's home, with confirmation", writes);
+    report("write through another domain's instance", remoteWrites);
+    std::cout << "added to a read: p50 " << static_cast<int>(entry.quantile(0.5) - direct.quantile(0.5)) << " us, p99 "
+              << static_cast<int>(entry.quantile(0.99) - direct.quantile(0.99)) << " us" << std::endl;
+}
+
+void measureThroughput(TestFleet &fleet)
+{
+    const std::vector<std::string> domains{"a", "b", "c"};
+    const auto total = [&] {
+        double seconds = 0;
+        for (const std::string &domain : domains) {
+            seconds += processorSeconds(fleet.instancePid(domain));
+        }
+        return seconds;
+    };
+    std::atomic<bool> stopping{false};
+    std::atomic<std::uint64_t> done{0};
+    std::vector<std::thread> threads;
+    const double before = total();
+    const auto start = Clock::now();
+    for (int i = 0; i < 12; ++i) {
+        threads.emplace_back([&, i] {
+            const std::string address = fleet.instance(domains[static_cast<std::size_t>(i) % 3]).address();
+            const auto stub = caller::v1::Statements::NewStub(grpc::CreateChannel(address, grpc::InsecureChannelCredentials()));
+            while (!stopping) {
+                grpc::ClientContext context;
+                caller::v1::StatementReply reply;
+                stub->Execute(&context, fleet.read("SELECT 1"), &reply);
+                done += reply.status().code() == 0 ? 1 : 0;
+            }
+        });
+    }
+    std::this_thread::sleep_for(5s);
+    stopping = true;
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    const double seconds = std::chrono::duration<double>(Clock::now() - start).count();
+    const double used = total() - before;
+    std::cout << "reads: " << static_cast<int>(static_cast<double>(done) / seconds) << " a second, "
+              << static_cast<int>(static_cast<double>(done) / used) << " for each second of processor time of the instances" << std::endl;
+}
+
+void measureIdle(TestFleet &fleet)
+{
+    const double before = processorSeconds(fleet.instancePid("a"));
+    std::this_thread::sleep_for(10s);
+    const double used = processorSeconds(fleet.instancePid("a")) - before;
+    std::cout << "idle instance: " << used * 10 << " % of a core, " << residentKilobytes(fleet.instancePid("a")) << " kB resident" << std::endl;
+}
+
+int measureOverhead()
+{
+    TestFleet fleet;
+    measureIdle(fleet);
+    measureLatency(fleet);
+    measureThroughput(fleet);
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::vector<std::string> words(argv + 1, argv + argc);
+    if (words.size() == 3 && words[0] == "gap") {
+        return measureGaps(words[1], std::stoi(words[2]));
+    }
+    if (words.size() == 1 && words[0] == "overhead") {
+        return measureOverhead();
+    }
+    std::cerr << "usage: rattanbeam-measure gap kill|freeze|cut|leave COUNT | overhead\n";
+    return 2;
+}
--- a/systemtests/include/rattanbeam/systemtests/process.h
+++ b/systemtests/include/rattanbeam/systemtests/process.h
@@ -26,6 +26,10 @@
     {
         return m_address;
     }
+    pid_t pid() const
+    {
+        return m_pid;
+    }
     void kill(int signal);
     /// Exit code, or -1 when it has not ended within `limit`, or was ended by a signal.
     int waitForExit(std::chrono::seconds limit);
--- a/systemtests/include/rattanbeam/systemtests/testfleet.h
+++ b/systemtests/include/rattanbeam/systemtests/testfleet.h
@@ -31,6 +31,10 @@
     TestFleet &operator=(const TestFleet &) = delete;
     ~TestFleet();
 
+    pid_t instancePid(const std::string &domain) const
+    {
+        return m_instances.at(domain)->pid();
+    }
     Process &instance(const std::string &domain)
     {
         return *m_instances.at(domain);
@@ -98,6 +102,8 @@
     std::set<std::string> acknowledged() const;
     std::set<std::string> notRun() const;
     std::set<std::string> mayHaveRun() const;
+    /// Longest time between two acknowledged writes so far.
+    std::chrono::milliseconds longestGap() const;
     std::size_t unanswered() const
     {
         return m_unanswered;
@@ -116,6 +122,8 @@
     std::set<std::string> m_notRun;
     std::set<std::string> m_mayHaveRun;
     std::map<std::string, int> m_failures;
+    std::chrono::steady_clock::time_point m_lastAcknowledged;
+    std::chrono::steady_clock::duration m_longestGap{};
     std::vector<std::thread> m_threads;
 };
 
--- a/systemtests/src/testfleet.cpp
+++ b/systemtests/src/testfleet.cpp
@@ -287,6 +287,11 @@
             ++m_unanswered;
         } else if (reply.status().code() == 0) {
             m_acknowledged.insert(id);
+            const auto at = std::chrono::steady_clock::now();
+            if (m_acknowledged.size() > 1) {
+                m_longestGap = std::max(m_longestGap, at - m_lastAcknowledged);
+            }
+            m_lastAcknowledged = at;
         } else {
             ++m_failures[reply.status().message()];
             (reply.status().verdict() == caller::v1::NOT_RUN ? m_notRun : m_mayHaveRun).insert(id);
@@ -325,6 +330,12 @@
     return m_mayHaveRun;
 }
 
+std::chrono::milliseconds Writers::longestGap() const
+{
+    const std::lock_guard lock(m_mutex);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_longestGap);
+}
+
 std::string Writers::failures() const
 {
     const std::lock_guard lock(m_mutex);
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -3,5 +3,11 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 folder=${1:-build}
-run-clang-tidy -quiet -p "$folder" "^$PWD/(decisions|model|kernel|protocol|proxy|daemon|operator|standins)/(src|test|apps|benchmark)/" 2>/dev/null |
-    grep -E '(warning|error):' | sort -u | tee /dev/stderr | { ! grep -q .; }
+packages='decisions|model|kernel|protocol|proxy|daemon|operator|standins|systemtests'
+output=$(mktemp)
+trap 'rm -f "$output"' EXIT
+if ! run-clang-tidy -quiet -p "$folder" "^$PWD/($packages)/(src|test|apps|benchmark)/" >"$output" 2>&1; then
+    grep -E '(warning|error):' "$output" | sort -u || tail -20 "$output"
+    exit 1
+fi
+echo "clang-tidy: nothing found"
