Failover: what is under way at a replaced primary is given up at once; idle instances cost less

Cause of the 2.02 s gap by freeze and cut: the promotion was published 0.37 s after the freeze, but the stand-in's other follower stayed in a pull from the frozen primary until its 2 s timeout, so that the new primary got no confirmation. Ruled out: suspicion and promotion (log times). Mended in the stand-in: a new primary ends the pull. Found on the way and mended: requests in flight at a replaced primary waited for their own deadline.

Cause of 16.9 % of a core when idle: the actor library's work stealing polls.

--- /dev/null
+++ b/decisions/benchmark/decisions_benchmark.cpp
@@ -0,0 +1,191 @@
+// Slopes of the decisions, for docs/CAPACITY.md: time for each database, instance, statement and change.
+
+#include "rattanbeam/decisions/confirmation.h"
+#include "rattanbeam/decisions/fleetview.h"
+#include "rattanbeam/decisions/groupobserver.h"
+#include "rattanbeam/decisions/memberhome.h"
+#include "rattanbeam/decisions/sessiontoken.h"
+
+#include <benchmark/benchmark.h>
+
+#include <malloc.h>
+
+namespace
+{
+
+using namespace rattanbeam::decisions;
+using namespace std::chrono_literals;
+
+const TimePoint start{std::chrono::hours(1)};
+
+DatabaseGroup makeGroup(std::size_t number)
+{
+    DatabaseGroup group;
+    group.database = DatabaseName("db-" + std::to_string(number));
+    group.slots = 2;
+    group.connections = 16;
+    group.term = 1;
+    for (std::size_t i = 0; i < 3; ++i) {
+        const std::string domain = "d" + std::to_string((number + i) % 41);
+        const MemberId member("db-" + std::to_string(number) + "-" + std::to_string(i));
+        group.members[member] = {FailureDomain(domain), "10.0.0.1:4000"};
+        group.primary = i == 0 ? member : group.primary;
+    }
+    return group;
+}
+
+ConfigObject makeObject(std::size_t number, std::uint64_t version)
+{
+    const DatabaseGroup group = makeGroup(number);
+    return {groupKey(group.database), formatDatabaseGroup(group), version, false};
+}
+
+std::vector<InstanceRecord> makeInstances(std::size_t count)
+{
+    std::vector<InstanceRecord> instances;
+    for (std::size_t i = 0; i < count; ++i) {
+        instances.push_back(
+            {InstanceId("i" + std::to_string(i)), FailureDomain("d" + std::to_string(i % 41)), "10.0.0.2:4000", 1, 1, false});
+    }
+    return instances;
+}
+
+/// All of the fleet's configuration in one instance: time to build it and bytes for each database.
+void buildFleet(benchmark::State &state)
+{
+    const auto databases = static_cast<std::size_t>(state.range(0));
+    std::size_t bytes = 0;
+    for (auto _ : state) {
+        const std::size_t before = mallinfo2().uordblks;
+        ConfigStore store;
+        FleetBuilder builder;
+        for (std::size_t i = 0; i < databases; ++i) {
+            const ConfigObject object = makeObject(i, i + 1);
+            store.merge({i, i + 1, {object}});
+            builder.apply(object);
+        }
+        builder.setInstances(makeInstances(3200));
+        const auto view = builder.view(databases);
+        benchmark::DoNotOptimize(view);
+        bytes = mallinfo2().uordblks - before;
+    }
+    state.counters["bytes_per_database"] = static_cast<double>(bytes) / static_cast<double>(databases);
+}
+BENCHMARK(buildFleet)->Arg(210)->Arg(2100)->Arg(21000)->Unit(benchmark::kMillisecond);
+
+/// One change of configuration in a full fleet: a promotion's, which moves no home.
+void applyChange(benchmark::State &state)
+{
+    const auto databases = static_cast<std::size_t>(state.range(0));
+    FleetBuilder builder;
+    for (std::size_t i = 0; i < databases; ++i) {
+        builder.apply(makeObject(i, i + 1));
+    }
+    builder.setInstances(makeInstances(3200));
+    builder.view(databases);
+    std::uint64_t version = databases;
+    for (auto _ : state) {
+        builder.apply(makeObject(0, ++version));
+        benchmark::DoNotOptimize(builder.view(version));
+    }
+}
+BENCHMARK(applyChange)->Arg(210)->Arg(2100)->Arg(21000)->Unit(benchmark::kMicrosecond);
+
+/// An instance comes or goes in a full fleet: all homes are assigned anew.
+void changeInstances(benchmark::State &state)
+{
+    const auto databases = static_cast<std::size_t>(state.range(0));
+    FleetBuilder builder;
+    for (std::size_t i = 0; i < databases; ++i) {
+        builder.apply(makeObject(i, i + 1));
+    }
+    const std::vector<InstanceRecord> all = makeInstances(3200);
+    const std::vector<InstanceRecord> fewer(all.begin(), all.end() - 1);
+    bool flip = false;
+    for (auto _ : state) {
+        flip = !flip;
+        builder.setInstances(flip ? all : fewer);
+        benchmark::DoNotOptimize(builder.view(1));
+    }
+}
+BENCHMARK(changeInstances)->Arg(210)->Arg(2100)->Arg(21000)->Unit(benchmark::kMillisecond);
+
+/// A statement through a home: queue, connection, answer.
+void homeStatement(benchmark::State &state)
+{
+    HomeLimits limits;
+    limits.connections = 16;
+    limits.queue.slots = 2;
+    MemberHome home(MemberId("m"), limits, 1);
+    MemberStatus status;
+    status.term = 1;
+    status.isFollowing = true;
+    home.memberSeen(status, start, start);
+    HomeRequest request;
+    request.customer = CustomerId("tiza");
+    request.connectionLimit = 16;
+    request.deadline = start + 10s;
+    request.maxAge = 10s;
+    request.id = 1;
+    home.arrived(request, start);
+    home.connectionOpened(1, start);
+    home.answered(1, 1, {}, start);
+    for (auto _ : state) {
+        ++request.id;
+        benchmark::DoNotOptimize(home.arrived(request, start));
+        benchmark::DoNotOptimize(home.answered(1, request.id, {}, start));
+    }
+}
+BENCHMARK(homeStatement);
+
+/// One interval of an observer: a tick and the answers to its probes.
+void observerInterval(benchmark::State &state)
+{
+    const StoredGroup stored{makeGroup(1), 1};
+    GroupObserver observer({.domain = FailureDomain("d1"), .attemptPrefix = "x"}, stored);
+    observer.groupChanged(stored, {stored.group.primary}, start);
+    MemberStatus status;
+    status.term = 1;
+    status.history = TermHistory({{1, 0}});
+    TimePoint now = start;
+    for (auto _ : state) {
+        now += 100ms;
+        observer.tick(now);
+        for (const auto &[member, place] : stored.group.members) {
+            status.isPrimary = member == stored.group.primary;
+            status.isFollowing = !status.isPrimary;
+            benchmark::DoNotOptimize(observer.probeEnded(member, false, now, status, now));
+        }
+    }
+}
+BENCHMARK(observerInterval);
+
+/// Heartbeats of a whole domain, as one exchange brings them.
+void hearDomain(benchmark::State &state)
+{
+    Membership membership(1s);
+    std::vector<InstanceRecord> records = makeInstances(static_cast<std::size_t>(state.range(0)));
+    TimePoint now = start;
+    for (auto _ : state) {
+        now += 100ms;
+        for (InstanceRecord &record : records) {
+            ++record.heartbeat;
+            membership.heard(record, now);
+        }
+        benchmark::DoNotOptimize(membership.recent(now));
+    }
+}
+BENCHMARK(hearDomain)->Arg(9)->Arg(78)->Arg(3200)->Unit(benchmark::kMicrosecond);
+
+void tokenRoundTrip(benchmark::State &state)
+{
+    const SessionToken token
+        = SessionToken().observed(DatabaseName("orders"), {3, 120}, true).observed(DatabaseName("stock"), {2, 9}, true);
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(SessionToken::decode(token.encode()));
+    }
+    state.counters["bytes"] = static_cast<double>(token.encode().size());
+}
+BENCHMARK(tokenRoundTrip);
+
+} // namespace
--- a/decisions/include/rattanbeam/decisions/memberhome.h
+++ b/decisions/include/rattanbeam/decisions/memberhome.h
@@ -123,6 +123,9 @@
     HomeActions memberSeen(const MemberStatus &status, TimePoint dataFrom, TimePoint now);
     /// Another member answered: it may confirm, or show that this one was replaced.
     HomeActions otherSeen(const MemberId &other, const MemberStatus &status, TimePoint now);
+    /// The group has moved on to `term`: what is under way at a member of an earlier one is given up at once, so that
+    /// its callers need not wait for a member that may never answer.
+    HomeActions termPublished(Term term, TimePoint now);
     /// Answer to AskHeld.
     HomeActions otherHolds(const MemberId &other, Term term, std::uint64_t position, TimePoint now);
 
@@ -190,6 +193,8 @@
     void askOthers(HomeActions &actions);
     void releaseParked(TimePoint now, HomeActions &actions);
     void refuseWaitingWrites(TimePoint now, HomeActions &actions);
+    void giveUpInFlight(TimePoint now, HomeActions &actions);
+    void abandon(const InFlight &flight, ErrorCode code, TimePoint now, HomeActions &actions);
     void rollBackIdle(TimePoint now, HomeActions &actions);
     void endOverdue(TimePoint now, HomeActions &actions);
 
--- a/decisions/include/rattanbeam/decisions/router.h
+++ b/decisions/include/rattanbeam/decisions/router.h
@@ -83,11 +83,8 @@
 
 private:
     /// A member that was never seen is worth a try: its home knows better.
-    static bool isWorthTrying(const ReadNeeds &needs,
-                              const MemberSighting *sighting,
-                              double applyRate,
-                              const TriedRoutes &tried,
-                              TimePoint now)
+    static bool
+    isWorthTrying(const ReadNeeds &needs, const MemberSighting *sighting, double applyRate, const TriedRoutes &tried, TimePoint now)
     {
         if (needs.session && needs.session->primaryNext) {
             return false;
--- a/decisions/src/memberhome.cpp
+++ b/decisions/src/memberhome.cpp
@@ -351,17 +351,51 @@
 
 HomeActions MemberHome::otherSeen(const MemberId &other, const MemberStatus &status, TimePoint now)
 {
-    HomeActions actions;
-    m_highestTermSeen = std::max(m_highestTermSeen, status.term);
     if (m_status && status.term == m_status->term) {
         m_otherSeenAt[other] = now;
     }
-    if (m_status && m_highestTermSeen > m_status->term) {
-        refuseWaitingWrites(now, actions);
+    return termPublished(status.term, now);
+}
+
+HomeActions MemberHome::termPublished(Term term, TimePoint now)
+{
+    HomeActions actions;
+    if (!m_status || term <= std::max(m_highestTermSeen, m_status->term)) {
+        return actions;
+    }
+    m_highestTermSeen = term;
+    refuseWaitingWrites(now, actions);
+    if (m_status->isPrimary) {
+        giveUpInFlight(now, actions);
     }
     return actions;
 }
 
+void MemberHome::giveUpInFlight(TimePoint now, HomeActions &actions)
+{
+    const std::map<WorkId, InFlight> inFlight = m_inFlight;
+    for (const auto &[work, flight] : inFlight) {
+        abandon(flight, ErrorCode::ConnectionLost, now, actions);
+    }
+    std::vector<WriteId> unconfirmed;
+    for (const auto &[work, write] : m_unconfirmed) {
+        unconfirmed.push_back(work);
+    }
+    for (const WriteId id : unconfirmed) {
+        m_confirmations.remove(id);
+    }
+    doubtWrites(unconfirmed, actions);
+}
+
+void MemberHome::abandon(const InFlight &flight, ErrorCode code, TimePoint now, HomeActions &actions)
+{
+    m_inFlight.erase(flight.request.id);
+    m_queue.finished(flight.request.id, now);
+    breakTransaction(flight.connection);
+    dropConnection(flight.connection, actions);
+    reply(flight.request, Outcome::doubt(code), actions);
+}
+
 HomeActions MemberHome::otherHolds(const MemberId &other, Term term, std::uint64_t position, TimePoint now)
 {
     HomeActions actions;
@@ -401,11 +435,7 @@
         }
     }
     for (const InFlight &flight : overdue) {
-        m_inFlight.erase(flight.request.id);
-        m_queue.finished(flight.request.id, now);
-        breakTransaction(flight.connection);
-        dropConnection(flight.connection, actions);
-        reply(flight.request, Outcome::doubt(ErrorCode::DeadlineExceeded), actions);
+        abandon(flight, ErrorCode::DeadlineExceeded, now, actions);
     }
     std::vector<WriteId> late;
     for (const auto &[work, unconfirmed] : m_unconfirmed) {
--- a/decisions/test/memberhome_test.cpp
+++ b/decisions/test/memberhome_test.cpp
@@ -95,6 +95,9 @@
         case 20:
             perform(m_home.moveAway(m_now));
             break;
+        case 23:
+            perform(m_home.termPublished(m_term + detail % 2, m_now));
+            break;
         case 21:
             m_home.setHandover(detail % 2 == 0);
             break;
--- a/proxy/src/instance.cpp
+++ b/proxy/src/instance.cpp
@@ -41,6 +41,8 @@
 caf::actor_system_config &withThreads(caf::actor_system_config &config, std::uint32_t threads)
 {
     config.set("scheduler.max-threads", static_cast<std::size_t>(threads));
+    // Work stealing polls: idle workers would burn a tenth of a core and wake late.
+    config.set("scheduler.policy", caf::atom("sharing"));
     return config;
 }
 
--- a/proxy/src/internal/homeservice.cpp
+++ b/proxy/src/internal/homeservice.cpp
@@ -17,7 +17,8 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds tickInterval{10};
+constexpr std::chrono::milliseconds busyTick{10}; // while requests wait here
+constexpr std::chrono::milliseconds idleTick{100};
 constexpr std::chrono::milliseconds loadReportInterval{100};
 constexpr std::chrono::milliseconds openTimeout{500};
 constexpr std::chrono::milliseconds heldTimeout{1000};
@@ -78,7 +79,7 @@
     return {
         [this](const TimerTick &) {
             tick();
-            delayed_send(this, tickInterval, TimerTick{});
+            delayed_send(this, m_context->homeRequests > 0 ? busyTick : idleTick, TimerTick{});
         },
         [this](const FleetChanged &message) {
             fleetChanged(message.fleet);
@@ -189,6 +190,9 @@
         }
         home.isStandIn = !isHome;
         home.decisions->setLimits(limitsFor(stored->group, home.isStandIn));
+        if (stored->group.isSettled()) {
+            perform(home, home.decisions->termPublished(stored->group.term, currentTime()));
+        }
     }
     for (const auto &[database, stored] : fleet->groups()) {
         for (const auto &[member, place] : stored.group.members) {
--- a/standins/apps/backend.cpp
+++ b/standins/apps/backend.cpp
@@ -71,6 +71,10 @@
         if (address != m_address) {
             m_address = address;
             connect();
+            // A pull under way may wait for a primary that never answers.
+            if (m_pull) {
+                m_pull->TryCancel();
+            }
         }
     }
     void setCut(bool isCut)
@@ -99,9 +103,11 @@
     bool pullOnce()
     {
         std::shared_ptr<backend::v1::Member::Stub> stub;
+        const auto context = std::make_shared<grpc::ClientContext>();
         {
             const std::lock_guard lock(m_mutex);
             stub = m_stub;
+            m_pull = context;
         }
         const auto status = m_member.status();
         if (!stub || status.isPrimary) {
@@ -112,10 +118,9 @@
         protocol::fromTermHistory(status.history, request.mutable_terms());
         request.set_end(status.held.position);
         request.set_wait_ms(status.isFollowing ? pullWaitMs : 0);
-        grpc::ClientContext context;
-        context.set_deadline(std::chrono::system_clock::now() + 2s);
+        context->set_deadline(std::chrono::system_clock::now() + 2s);
         backend::v1::PullReply reply;
-        if (!stub->Pull(&context, request, &reply).ok()) {
+        if (!stub->Pull(context.get(), request, &reply).ok()) {
             // The old connection may have gone silent for good.
             const std::lock_guard lock(m_mutex);
             connect();
@@ -137,6 +142,7 @@
     std::mutex m_mutex;
     std::string m_address;
     std::shared_ptr<backend::v1::Member::Stub> m_stub;
+    std::shared_ptr<grpc::ClientContext> m_pull;
     std::atomic<bool> m_stopping{false};
     std::atomic<bool> m_isCut{false};
     std::thread m_thread;
--- a/systemtests/apps/measure.cpp
+++ b/systemtests/apps/measure.cpp
@@ -2,6 +2,7 @@
 //
 //   rattanbeam-measure gap KIND COUNT      gaps in writes over COUNT failovers by kill, freeze, cut or leave
 //   rattanbeam-measure overhead            added latency, and statements a second of one core
+//   rattanbeam-measure calls               the platform's calls, idle and under a change every second
 
 #include "rattanbeam/systemtests/testfleet.h"
 
@@ -121,8 +122,8 @@
 
 void report(const std::string &what, Latencies &latencies)
 {
-    std::cout << what << ": p50 " << static_cast<int>(latencies.quantile(0.5)) << " us, p99 " << static_cast<int>(latencies.quantile(0.99)) << " us"
-              << std::endl;
+    std::cout << what << ": p50 " << static_cast<int>(latencies.quantile(0.5)) << " us, p99 " << static_cast<int>(latencies.quantile(0.99))
+              << " us" << std::endl;
 }
 
 void measureLatency(TestFleet &fleet)
@@ -206,7 +207,8 @@
     const double before = processorSeconds(fleet.instancePid("a"));
     std::this_thread::sleep_for(10s);
     const double used = processorSeconds(fleet.instancePid("a")) - before;
-    std::cout << "idle instance: " << used * 10 << " % of a core, " << residentKilobytes(fleet.instancePid("a")) << " kB resident" << std::endl;
+    std::cout << "idle instance: " << used * 10 << " % of a core, " << residentKilobytes(fleet.instancePid("a")) << " kB resident"
+              << std::endl;
 }
 
 int measureOverhead()
@@ -218,6 +220,54 @@
     return 0;
 }
 
+struct CallCount {
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t instanceLists = 0;
+};
+
+CallCount countCalls(TestFleet &fleet)
+{
+    const auto counters = fleet.setPlatformFaults({});
+    return {counters.reads() + counters.lists(), counters.writes(), counters.watches(), counters.instance_lists()};
+}
+
+void reportCalls(const std::string &what, const CallCount &before, const CallCount &after)
+{
+    std::cout << what << " (3 instances in 3 domains, 10 s): reads " << after.reads - before.reads << ", writes "
+              << after.writes - before.writes << ", watches started " << after.watches - before.watches << ", instance lists "
+              << after.instanceLists - before.instanceLists << ", watches waiting " << after.watches << std::endl;
+}
+
+int measureCalls()
+{
+    TestFleet fleet;
+    std::this_thread::sleep_for(2s);
+    const CallCount start = countCalls(fleet);
+    std::this_thread::sleep_for(10s);
+    const CallCount idle = countCalls(fleet);
+    reportCalls("idle", start, idle);
+    std::vector<std::chrono::milliseconds> spreads;
+    for (int i = 0; i < 10; ++i) {
+        const std::uint64_t version = fleet.readObject("contract/tiza").version();
+        const auto written = fleet.writeObject("contract/tiza", TestFleet::contractText(5 + i), version);
+        const auto at = Clock::now();
+        for (const char *domain : {"a", "b", "c"}) {
+            while (fleet.show(fleet.instance(domain).address(), "contract/tiza")->object().version() < written.object().version()) {
+                std::this_thread::sleep_for(1ms);
+            }
+        }
+        spreads.push_back(std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - at));
+        std::this_thread::sleep_until(at + 1s);
+    }
+    reportCalls("a change every second (10 reads and 10 writes are the operator's)", idle, countCalls(fleet));
+    std::sort(spreads.begin(), spreads.end());
+    std::cout << "a change is in force on all instances after: median " << spreads[5].count() << " ms, worst " << spreads.back().count()
+              << " ms" << std::endl;
+    return 0;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -229,6 +279,9 @@
     if (words.size() == 1 && words[0] == "overhead") {
         return measureOverhead();
     }
-    std::cerr << "usage: rattanbeam-measure gap kill|freeze|cut|leave COUNT | overhead\n";
+    if (words.size() == 1 && words[0] == "calls") {
+        return measureCalls();
+    }
+    std::cerr << "usage: rattanbeam-measure gap kill|freeze|cut|leave COUNT | overhead | calls\n";
     return 2;
 }
