Homes keep no room for what they dropped

Cause: a shortened vector keeps its room, so that keeping four homes saved nothing (9.86 kB for each database before and after). Copied instead: 2.75 kB. A membership change at 21,000 databases: 1,085 ms before only the changed domain was assigned anew, 46 ms after (the benchmark measured a first assignment before; it now starts from a full fleet).

--- a/decisions/benchmark/decisions_benchmark.cpp
+++ b/decisions/benchmark/decisions_benchmark.cpp
@@ -101,6 +101,8 @@
     }
     const std::vector<InstanceRecord> all = makeInstances(3200);
     const std::vector<InstanceRecord> fewer(all.begin(), all.end() - 1);
+    builder.setInstances(fewer);
+    builder.view(1);
     bool flip = false;
     for (auto _ : state) {
         flip = !flip;
--- a/decisions/src/homeassignment.cpp
+++ b/decisions/src/homeassignment.cpp
@@ -77,9 +77,10 @@
             return load[each] < bound;
         });
         std::rotate(order.begin(), home, home + 1);
-        order.resize(std::min(order.size(), mostHomes));
         ++load[order.front()];
-        assignment[member] = std::move(order);
+        // A copy, since a shortened vector keeps its room.
+        const auto kept = static_cast<std::ptrdiff_t>(std::min(order.size(), mostHomes));
+        assignment[member] = HomeOrder(order.begin(), order.begin() + kept);
     }
     return assignment;
 }
