--- a/kernel/src/tracing.cpp
+++ b/kernel/src/tracing.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <mutex>
 #include <sstream>
+#include <string_view>
 
 namespace rattanbeam::kernel
 {
@@ -96,6 +97,21 @@
     mutable std::string m_text;
 };
 
+/// Whether a text has the form of the tracer's own contexts: base64 of two 64-bit numbers and an empty list of baggage.
+/// The library trusts what it extracts and crashes on anything else, and a caller may send anything.
+bool isContext(const std::string &text)
+{
+    constexpr std::string_view alphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    constexpr std::string_view lastOfNumbers = "AQgw"; // two bits of the second number, four zero bits
+    constexpr std::string_view noBaggage = "AAAAA=";
+    constexpr std::size_t numbersLength = 22;
+    if (text.size() != numbersLength + noBaggage.size() || text.substr(numbersLength) != noBaggage) {
+        return false;
+    }
+    const std::string numbers = text.substr(0, numbersLength);
+    return numbers.find_first_not_of(alphabet) == std::string::npos && lastOfNumbers.find(numbers.back()) != std::string_view::npos;
+}
+
 } // namespace
 
 Span::Span(std::unique_ptr<opentracing::Span> span) : m_span(std::move(span))
@@ -143,7 +159,7 @@
     if (!m_tracer) {
         return {};
     }
-    if (!parentContext.empty()) {
+    if (isContext(parentContext)) {
         const auto parent = m_tracer->Extract(TextCarrier(parentContext));
         if (parent && *parent) {
             return Span(m_tracer->StartSpan(name, {opentracing::ChildOf(parent->get())}));
