--- a/proxy/src/internal/grpccall.h
+++ b/proxy/src/internal/grpccall.h
@@ -35,6 +35,23 @@
     return std::chrono::system_clock::now() + std::chrono::duration_cast<std::chrono::system_clock::duration>(left);
 }
 
+/// Starts an asynchronous call: `invoke` names the method, `ended` gets the status and the reply. Keeps call and stub until
+/// then.
+///
+///     startCall<Reply>(stub, request, deadline, [](auto &calls, auto &call, auto ended) {
+///         calls.Read(&call.context, &call.request, &call.reply, std::move(ended));
+///     }, [](const grpc::Status &status, const Reply &reply) { ... });
+template<typename Reply, typename Stub, typename Request, typename Invoke, typename Ended>
+void startCall(const std::shared_ptr<Stub> &stub, const Request &request, decisions::TimePoint deadline, Invoke invoke, Ended ended)
+{
+    const auto call = std::make_shared<PendingCall<Request, Reply>>();
+    call->context.set_deadline(toSystemTime(deadline));
+    call->request = request;
+    invoke(*stub->async(), *call, [call, stub, ended = std::move(ended)](const grpc::Status &status) {
+        ended(status, call->reply);
+    });
+}
+
 /// The library reports a failure to connect in words only; everything else may have been received.
 inline CallResult callResult(const grpc::Status &status)
 {
--- a/proxy/src/internal/memberclient.cpp
+++ b/proxy/src/internal/memberclient.cpp
@@ -12,16 +12,22 @@
 
 using Stub = backend::v1::Member::Stub;
 
-void callStatus(const std::shared_ptr<Stub> &stub,
-                decisions::TimePoint deadline,
-                std::function<void(const backend::v1::MemberStatus *)> callback)
+/// Hands the reply on, or null when no answer came.
+template<typename Reply>
+auto replyOrNull(std::function<void(const Reply *)> callback)
 {
-    const auto call = std::make_shared<PendingCall<backend::v1::StatusRequest, backend::v1::MemberStatus>>();
-    call->context.set_deadline(toSystemTime(deadline));
-    stub->async()->GetStatus(
-        &call->context, &call->request, &call->reply, [call, stub, callback = std::move(callback)](const grpc::Status &status) {
-            callback(status.ok() ? &call->reply : nullptr);
-        });
+    return [callback = std::move(callback)](const grpc::Status &status, const Reply &reply) {
+        callback(status.ok() ? &reply : nullptr);
+    };
+}
+
+void callStatus(const std::shared_ptr<Stub> &stub, decisions::TimePoint deadline, const MemberClient::StatusCallback &callback)
+{
+    const auto invoke = [](auto &calls, auto &call, auto ended) {
+        calls.GetStatus(&call.context, &call.request, &call.reply, std::move(ended));
+    };
+    startCall<backend::v1::MemberStatus>(
+        stub, backend::v1::StatusRequest(), deadline, invoke, replyOrNull<backend::v1::MemberStatus>(callback));
 }
 
 } // namespace
@@ -36,7 +42,7 @@
 
 void MemberClient::status(const std::string &address, decisions::TimePoint deadline, StatusCallback callback)
 {
-    callStatus(m_channels->find(address), deadline, std::move(callback));
+    callStatus(m_channels->find(address), deadline, callback);
 }
 
 void MemberClient::statusAfresh(const std::string &address, decisions::TimePoint deadline, StatusCallback callback)
@@ -54,17 +60,16 @@
 void MemberClient::waitHeld(
     const std::string &address, decisions::Term term, std::uint64_t position, decisions::TimePoint deadline, StatusCallback callback)
 {
-    const auto call = std::make_shared<PendingCall<backend::v1::WaitHeldRequest, backend::v1::MemberStatus>>();
-    call->context.set_deadline(toSystemTime(deadline));
-    call->request.set_term(term);
-    call->request.set_position(position);
+    backend::v1::WaitHeldRequest request;
+    request.set_term(term);
+    request.set_position(position);
     // Answers before the deadline, so that a late member is told from a lost one.
-    call->request.set_wait_ms(decisions::millisecondsUntil(deadline, std::chrono::steady_clock::now()) / 2);
-    const auto stub = m_channels->find(address);
-    stub->async()->WaitHeld(
-        &call->context, &call->request, &call->reply, [call, stub, callback = std::move(callback)](const grpc::Status &status) {
-            callback(status.ok() ? &call->reply : nullptr);
-        });
+    request.set_wait_ms(decisions::millisecondsUntil(deadline, std::chrono::steady_clock::now()) / 2);
+    const auto invoke = [](auto &calls, auto &call, auto ended) {
+        calls.WaitHeld(&call.context, &call.request, &call.reply, std::move(ended));
+    };
+    startCall<backend::v1::MemberStatus>(
+        m_channels->find(address), request, deadline, invoke, replyOrNull<backend::v1::MemberStatus>(std::move(callback)));
 }
 
 void MemberClient::fence(const std::string &address,
@@ -72,15 +77,14 @@
                          decisions::TimePoint deadline,
                          ReplyCallback callback)
 {
-    const auto call = std::make_shared<PendingCall<backend::v1::FenceRequest, backend::v1::MemberReply>>();
-    call->context.set_deadline(toSystemTime(deadline));
-    call->request.set_term(fence.term);
-    call->request.set_attempt(fence.attempt.text());
-    const auto stub = m_channels->find(address);
-    stub->async()->Fence(
-        &call->context, &call->request, &call->reply, [call, stub, callback = std::move(callback)](const grpc::Status &status) {
-            callback(status.ok() ? &call->reply : nullptr);
-        });
+    backend::v1::FenceRequest request;
+    request.set_term(fence.term);
+    request.set_attempt(fence.attempt.text());
+    const auto invoke = [](auto &calls, auto &call, auto ended) {
+        calls.Fence(&call.context, &call.request, &call.reply, std::move(ended));
+    };
+    startCall<backend::v1::MemberReply>(
+        m_channels->find(address), request, deadline, invoke, replyOrNull<backend::v1::MemberReply>(std::move(callback)));
 }
 
 void MemberClient::promote(const std::string &address,
@@ -88,15 +92,14 @@
                            decisions::TimePoint deadline,
                            ReplyCallback callback)
 {
-    const auto call = std::make_shared<PendingCall<backend::v1::PromoteRequest, backend::v1::MemberReply>>();
-    call->context.set_deadline(toSystemTime(deadline));
-    call->request.set_term(promote.term);
-    call->request.set_attempt(promote.attempt.text());
-    const auto stub = m_channels->find(address);
-    stub->async()->Promote(
-        &call->context, &call->request, &call->reply, [call, stub, callback = std::move(callback)](const grpc::Status &status) {
-            callback(status.ok() ? &call->reply : nullptr);
-        });
+    backend::v1::PromoteRequest request;
+    request.set_term(promote.term);
+    request.set_attempt(promote.attempt.text());
+    const auto invoke = [](auto &calls, auto &call, auto ended) {
+        calls.Promote(&call.context, &call.request, &call.reply, std::move(ended));
+    };
+    startCall<backend::v1::MemberReply>(
+        m_channels->find(address), request, deadline, invoke, replyOrNull<backend::v1::MemberReply>(std::move(callback)));
 }
 
 void MemberClient::follow(const std::string &address,
@@ -105,15 +108,14 @@
                           decisions::TimePoint deadline,
                           ReplyCallback callback)
 {
-    const auto call = std::make_shared<PendingCall<backend::v1::FollowRequest, backend::v1::MemberReply>>();
-    call->context.set_deadline(toSystemTime(deadline));
-    call->request.set_term(term);
-    call->request.set_primary_address(primaryAddress);
-    const auto stub = m_channels->find(address);
-    stub->async()->Follow(
-        &call->context, &call->request, &call->reply, [call, stub, callback = std::move(callback)](const grpc::Status &status) {
-            callback(status.ok() ? &call->reply : nullptr);
-        });
+    backend::v1::FollowRequest request;
+    request.set_term(term);
+    request.set_primary_address(primaryAddress);
+    const auto invoke = [](auto &calls, auto &call, auto ended) {
+        calls.Follow(&call.context, &call.request, &call.reply, std::move(ended));
+    };
+    startCall<backend::v1::MemberReply>(
+        m_channels->find(address), request, deadline, invoke, replyOrNull<backend::v1::MemberReply>(std::move(callback)));
 }
 
 /// Keeps itself alive until the library says that the stream is done.
--- a/proxy/src/internal/peerclient.cpp
+++ b/proxy/src/internal/peerclient.cpp
@@ -20,14 +20,13 @@
                          decisions::TimePoint deadline,
                          ForwardCallback callback)
 {
-    const auto call = std::make_shared<PendingCall<peer::v1::ForwardRequest, peer::v1::ForwardReply>>();
-    call->context.set_deadline(toSystemTime(deadline));
-    call->request = request;
-    const auto stub = m_channels->find(address);
-    stub->async()->Forward(
-        &call->context, &call->request, &call->reply, [call, stub, callback = std::move(callback)](const grpc::Status &status) {
-            callback(callResult(status), call->reply);
-        });
+    const auto invoke = [](auto &calls, auto &call, auto ended) {
+        calls.Forward(&call.context, &call.request, &call.reply, std::move(ended));
+    };
+    const auto ended = [callback = std::move(callback)](const grpc::Status &status, const peer::v1::ForwardReply &reply) {
+        callback(callResult(status), reply);
+    };
+    startCall<peer::v1::ForwardReply>(m_channels->find(address), request, deadline, invoke, ended);
 }
 
 void PeerClient::exchange(const std::string &address,
@@ -35,14 +34,13 @@
                           decisions::TimePoint deadline,
                           ExchangeCallback callback)
 {
-    const auto call = std::make_shared<PendingCall<peer::v1::ExchangeMessage, peer::v1::ExchangeMessage>>();
-    call->context.set_deadline(toSystemTime(deadline));
-    call->request = message;
-    const auto stub = m_channels->find(address);
-    stub->async()->Exchange(
-        &call->context, &call->request, &call->reply, [call, stub, callback = std::move(callback)](const grpc::Status &status) {
-            callback(callResult(status), call->reply);
-        });
+    const auto invoke = [](auto &calls, auto &call, auto ended) {
+        calls.Exchange(&call.context, &call.request, &call.reply, std::move(ended));
+    };
+    const auto ended = [callback = std::move(callback)](const grpc::Status &status, const peer::v1::ExchangeMessage &reply) {
+        callback(callResult(status), reply);
+    };
+    startCall<peer::v1::ExchangeMessage>(m_channels->find(address), message, deadline, invoke, ended);
 }
 
 } // namespace rattanbeam::proxy::internal
