Homes take over a member's new address

Found by reading: a home kept the address that its member had when the home was opened, so that a replaced backend server with a new address was never reached.

--- a/proxy/src/internal/homeservice.cpp
+++ b/proxy/src/internal/homeservice.cpp
@@ -152,10 +152,13 @@
     for (auto &[member, home] : m_homes) {
         const auto *stored = fleet->group(home.database);
         const bool isHome = fleet->isHome(m_context->settings.instance, member);
-        if (stored == nullptr || (!isHome && !home.isStandIn)) {
+        const std::string address = addressOf(home.database, member);
+        if (address.empty() || (!isHome && !home.isStandIn)) {
             perform(home, home.decisions->moveAway(currentTime()));
             continue;
         }
+        // A replaced server has a new address; open connections are kept as long as they last.
+        home.address = address;
         home.isStandIn = !isHome;
         home.decisions->setLimits(limitsFor(stored->group, home.isStandIn));
         if (stored->group.isSettled()) {
