The test of calls that count as never sent asks a peer that hangs

The library sends no request before the other side has spoken, so never sent is true there. It now asks a real peer that receives and never answers (perhaps received), and keeps the silent listener and the closed port (never sent).

--- a/proxy/test/peerclient_test.cpp
+++ b/proxy/test/peerclient_test.cpp
@@ -1,12 +1,17 @@
 #include "rattanbeam/proxy/internal/peerclient.h"
 
+#include "peer.grpc.pb.h"
+
 #include <catch2/catch.hpp>
+#include <grpcpp/grpcpp.h>
 
 #include <arpa/inet.h>
 #include <future>
+#include <mutex>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <vector>
 
 namespace rattanbeam::proxy::internal::test
 {
@@ -54,6 +59,48 @@
     std::string m_address;
 };
 
+/// A peer that receives forwards and never answers them.
+class HangingPeer : public peer::v1::Peer::CallbackService
+{
+public:
+    HangingPeer()
+    {
+        int port = 0;
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+        builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+        builder.RegisterService(this);
+        m_server = builder.BuildAndStart();
+        m_address = "127.0.0.1:" + std::to_string(port);
+    }
+    ~HangingPeer() override
+    {
+        for (grpc::ServerUnaryReactor *reactor : m_reactors) {
+            reactor->Finish(grpc::Status::CANCELLED);
+        }
+        m_server->Shutdown();
+    }
+    HangingPeer(const HangingPeer &) = delete;
+    HangingPeer &operator=(const HangingPeer &) = delete;
+
+    grpc::ServerUnaryReactor *
+    Forward(grpc::CallbackServerContext *call, const peer::v1::ForwardRequest * /*request*/, peer::v1::ForwardReply * /*reply*/) override
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_reactors.emplace_back(call->DefaultReactor());
+    }
+    const std::string &address() const
+    {
+        return m_address;
+    }
+
+private:
+    std::mutex m_mutex;
+    std::vector<grpc::ServerUnaryReactor *> m_reactors;
+    std::unique_ptr<grpc::Server> m_server;
+    std::string m_address;
+};
+
 CallResult forwardTo(const std::string &address)
 {
     PeerClient client;
@@ -67,11 +114,13 @@
 
 } // namespace
 
-TEST_CASE("Only a call that found no listener counts as never sent", "[peer]")
+TEST_CASE("A call that reached a peer counts as perhaps received, and one that reached nobody as never sent", "[peer]")
 {
+    const HangingPeer hanging;
+    CHECK(forwardTo(hanging.address()) == CallResult::Lost);
+    // A listener that never speaks the protocol has received no request either: the library sends none before.
     SilentListener listener;
-    // Somebody listens, so it may have been received.
-    CHECK(forwardTo(listener.address()) == CallResult::Lost);
+    CHECK(forwardTo(listener.address()) == CallResult::NeverSent);
     listener.close();
     CHECK(forwardTo(listener.address()) == CallResult::NeverSent);
 }
