A stand-in member starts only on an empty folder

A member that was killed left its folder, and a later one with the same id found the request id of the tables' creation stored there. It answered as for a repeat, at a position that its new log did not have, and the home rightly waited for a confirmation that could not come. Shown by: the member's own status (one entry held) against the home's (a write answered at a later position), and by process ids that had come round. Ruled out by the same look: replication, the confirmation calls, ports shared by two servers (each status came from its own member).

--- a/standins/apps/backend.cpp
+++ b/standins/apps/backend.cpp
@@ -325,12 +325,20 @@
     Replicator &m_replicator;
 };
 
+/// A folder that no earlier member can have used: process ids come again.
+std::string newDirectory()
+{
+    std::string pattern = std::filesystem::temp_directory_path() / "rattanbeam-backend-XXXXXX";
+    return mkdtemp(pattern.data()) == nullptr ? std::string() : pattern;
+}
+
 } // namespace
 
 int main(int argc, const char **argv)
 {
     std::string listen = "127.0.0.1:0";
     std::string name = "member";
+    std::string directory;
     standins::BackendOptions backend;
     int slots = 2;
     int connections = 16;
@@ -342,6 +350,7 @@
     standins::ProgramOptions options("rattanbeam-backend");
     options.text("listen", listen, "address and port; port 0 takes a free one")
         .text("name", name, "name of the member")
+        .text("directory", directory, "empty folder for the tables; a new one when left out")
         .number("slots", slots, "statements run at once")
         .number("connections", connections, "connections accepted")
         .number("connect-ms", connectMs, "time that a new connection takes")
@@ -352,8 +361,12 @@
     if (!options.parse(argc, argv)) {
         return standins::usageError;
     }
-    backend.directory = std::filesystem::temp_directory_path() / ("rattanbeam-backend-" + std::to_string(getpid()));
+    backend.directory = directory.empty() ? newDirectory() : directory;
     std::filesystem::create_directories(backend.directory);
+    if (!std::filesystem::is_empty(backend.directory)) {
+        std::cerr << backend.directory << " is not empty: a member starts without tables\n";
+        return 1;
+    }
     backend.slots = static_cast<std::uint32_t>(slots);
     backend.connections = static_cast<std::uint32_t>(connections);
     backend.connectDelay = std::chrono::milliseconds(connectMs);
--- a/systemtests/src/testfleet.cpp
+++ b/systemtests/src/testfleet.cpp
@@ -79,7 +79,8 @@
 
 std::unique_ptr<Process> TestFleet::startMember(const std::string &domain)
 {
-    std::vector<std::string> arguments{"--name", "orders-" + domain, "--apply-lag-ms", "50", "--cost-us", "500"};
+    std::vector<std::string> arguments{
+        "--name", "orders-" + domain, "--directory", m_directory + "/tables-" + domain, "--apply-lag-ms", "50", "--cost-us", "500"};
     if (domain == "a") {
         arguments.emplace_back("--primary");
     }
--- a/systemtests/test/failover_test.cpp
+++ b/systemtests/test/failover_test.cpp
@@ -34,6 +34,13 @@
 
 } // namespace
 
+TEST_CASE("A member never starts on the tables of an earlier one", "[system]")
+{
+    TestFleet fleet;
+    const std::string used = fleet.directory() + "/tables-a";
+    CHECK(Process::run(RATTANBEAM_BACKEND, {"--directory", used}, fleet.directory() + "/second.log") == 1);
+}
+
 TEST_CASE("A killed primary is replaced, and no write is lost or doubled", "[system]")
 {
     writeThrough([](TestFleet &fleet) {
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -52,7 +52,7 @@
 fleet_backend() { # NAME [--primary]
     local name=$1
     shift
-    fleet_spawn "$name" "$BIN/standins/rattanbeam-backend" --name "$name" --slots "${SLOTS:-2}" \
+    fleet_spawn "$name" "$BIN/standins/rattanbeam-backend" --name "$name" --directory "$FLEET_DIR/tables-$name" --slots "${SLOTS:-2}" \
         --connections "${CONNECTIONS:-16}" --cost-us "${COST_US:-1000}" --apply-lag-ms "${APPLY_LAG_MS:-300}" \
         --ship-lag-ms "${SHIP_LAG_MS:-1}" "$@"
 }
