Linter findings of the whole tree

Mended in the code; no check was changed. The linter over the whole tree in a clean clone was not run again.

--- a/decisions/benchmark/decisions_benchmark.cpp
+++ b/decisions/benchmark/decisions_benchmark.cpp
@@ -55,7 +55,7 @@
 {
     const auto databases = static_cast<std::size_t>(state.range(0));
     std::size_t bytes = 0;
-    for (auto _ : state) {
+    for ([[maybe_unused]] auto _ : state) {
         const std::size_t before = mallinfo2().uordblks;
         ConfigStore store;
         FleetBuilder builder;
@@ -84,7 +84,7 @@
     builder.setInstances(makeInstances(3200));
     builder.view(databases);
     std::uint64_t version = databases;
-    for (auto _ : state) {
+    for ([[maybe_unused]] auto _ : state) {
         builder.apply(makeObject(0, ++version));
         benchmark::DoNotOptimize(builder.view(version));
     }
@@ -104,7 +104,7 @@
     builder.setInstances(fewer);
     builder.view(1);
     bool flip = false;
-    for (auto _ : state) {
+    for ([[maybe_unused]] auto _ : state) {
         flip = !flip;
         builder.setInstances(flip ? all : fewer);
         benchmark::DoNotOptimize(builder.view(1));
@@ -132,7 +132,7 @@
     home.arrived(request, start);
     home.connectionOpened(1, start);
     home.answered(1, 1, {}, start);
-    for (auto _ : state) {
+    for ([[maybe_unused]] auto _ : state) {
         ++request.id;
         benchmark::DoNotOptimize(home.arrived(request, start));
         benchmark::DoNotOptimize(home.answered(1, request.id, {}, start));
@@ -150,7 +150,7 @@
     status.term = 1;
     status.history = TermHistory({{1, 0}});
     TimePoint now = start;
-    for (auto _ : state) {
+    for ([[maybe_unused]] auto _ : state) {
         now += 100ms;
         observer.tick(now);
         for (const auto &[member, place] : stored.group.members) {
@@ -168,7 +168,7 @@
     Membership membership(1s);
     std::vector<InstanceRecord> records = makeInstances(static_cast<std::size_t>(state.range(0)));
     TimePoint now = start;
-    for (auto _ : state) {
+    for ([[maybe_unused]] auto _ : state) {
         now += 100ms;
         for (InstanceRecord &record : records) {
             ++record.heartbeat;
@@ -183,7 +183,7 @@
 {
     const SessionToken token
         = SessionToken().observed(DatabaseName("orders"), {3, 120}, true).observed(DatabaseName("stock"), {2, 9}, true);
-    for (auto _ : state) {
+    for ([[maybe_unused]] auto _ : state) {
         benchmark::DoNotOptimize(SessionToken::decode(token.encode()));
     }
     state.counters["bytes"] = static_cast<double>(token.encode().size());
--- a/proxy/include/rattanbeam/proxy/internal/memberclient.h
+++ b/proxy/include/rattanbeam/proxy/internal/memberclient.h
@@ -25,7 +25,7 @@
     MemberClient &operator=(const MemberClient &) = delete;
     ~MemberClient();
 
-    void status(const std::string &address, decisions::TimePoint deadline, StatusCallback callback);
+    void status(const std::string &address, decisions::TimePoint deadline, const StatusCallback &callback);
     /// As status(), on a new connection of its own; it replaces the old one when it works.
     void statusAfresh(const std::string &address, decisions::TimePoint deadline, StatusCallback callback);
     void waitHeld(
--- a/proxy/src/internal/grpccall.h
+++ b/proxy/src/internal/grpccall.h
@@ -99,7 +99,7 @@
         if (!entry.stub) {
             entry.stub = Service::NewStub(openChannel(address, true));
         }
-        const std::shared_ptr<Stub> stub = entry.stub;
+        std::shared_ptr<Stub> stub = entry.stub;
         dropOldest();
         return stub;
     }
--- a/proxy/src/internal/memberclient.cpp
+++ b/proxy/src/internal/memberclient.cpp
@@ -40,7 +40,7 @@
 
 MemberClient::~MemberClient() = default;
 
-void MemberClient::status(const std::string &address, decisions::TimePoint deadline, StatusCallback callback)
+void MemberClient::status(const std::string &address, decisions::TimePoint deadline, const StatusCallback &callback)
 {
     callStatus(m_channels->find(address), deadline, callback);
 }
--- a/proxy/test/peerclient_test.cpp
+++ b/proxy/test/peerclient_test.cpp
@@ -31,8 +31,8 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof address;
-        bind(m_socket, reinterpret_cast<sockaddr *>(&address), size);
-        listen(m_socket, 16);
+        REQUIRE(bind(m_socket, reinterpret_cast<sockaddr *>(&address), size) == 0);
+        REQUIRE(listen(m_socket, 16) == 0);
         getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &size);
         m_address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
     }
--- a/standins/apps/backend.cpp
+++ b/standins/apps/backend.cpp
@@ -332,6 +332,42 @@
     return mkdtemp(pattern.data()) == nullptr ? std::string() : pattern;
 }
 
+/// Serves until a signal asks to stop; returns the exit code.
+int serveUntilStopped(const standins::BackendOptions &options, const std::string &listen, const std::string &name)
+{
+    BackendMember member(options);
+    Replicator replicator(member);
+    MemberService service(member, replicator, name);
+    FaultService faults(member, service, replicator);
+    int port = 0;
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(listen, grpc::InsecureServerCredentials(), &port);
+    builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, pingIntervalMs);
+    // Two servers that share a port would answer for each other.
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, 2 * pingIntervalMs);
+    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, pingIntervalMs);
+    builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
+    builder.RegisterService(&service);
+    builder.RegisterService(&faults);
+    const auto server = builder.BuildAndStart();
+    if (!server) {
+        std::cerr << "cannot listen on " << listen << '\n';
+        return 1;
+    }
+    std::cout << "event=listening member=" << name << " port=" << port << std::endl;
+    const auto onSignal = [](int /*signal*/) {
+        stopRequested = true;
+    };
+    std::signal(SIGTERM, onSignal);
+    std::signal(SIGINT, onSignal);
+    while (!stopRequested) {
+        std::this_thread::sleep_for(50ms);
+    }
+    server->Shutdown(std::chrono::system_clock::now());
+    return 0;
+}
+
 } // namespace
 
 int main(int argc, const char **argv)
@@ -374,38 +410,7 @@
     backend.applyLag = std::chrono::milliseconds(applyLagMs);
     backend.shipLag = std::chrono::milliseconds(shipLagMs);
     backend.startsAsPrimary = primary != 0;
-    {
-        BackendMember member(backend);
-        Replicator replicator(member);
-        MemberService service(member, replicator, name);
-        FaultService faults(member, service, replicator);
-        int port = 0;
-        grpc::ServerBuilder builder;
-        builder.AddListeningPort(listen, grpc::InsecureServerCredentials(), &port);
-        builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, pingIntervalMs);
-        // Two servers that share a port would answer for each other.
-        builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-        builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, 2 * pingIntervalMs);
-        builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, pingIntervalMs);
-        builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_PERMIT_WITHOUT_CALLS, 1);
-        builder.RegisterService(&service);
-        builder.RegisterService(&faults);
-        const auto server = builder.BuildAndStart();
-        if (!server) {
-            std::cerr << "cannot listen on " << listen << '\n';
-            return 1;
-        }
-        std::cout << "event=listening member=" << name << " port=" << port << std::endl;
-        const auto onSignal = [](int /*signal*/) {
-            stopRequested = true;
-        };
-        std::signal(SIGTERM, onSignal);
-        std::signal(SIGINT, onSignal);
-        while (!stopRequested) {
-            std::this_thread::sleep_for(50ms);
-        }
-        server->Shutdown(std::chrono::system_clock::now());
-    }
+    const int code = serveUntilStopped(backend, listen, name);
     std::filesystem::remove_all(backend.directory);
-    return 0;
+    return code;
 }
--- a/systemtests/apps/measure.cpp
+++ b/systemtests/apps/measure.cpp
@@ -55,8 +55,7 @@
     std::this_thread::sleep_for(100ms);
     writers.waitForAcknowledged(200, 30s);
     writers.stop();
-    const GapResult result{writers.longestGap(), systemtests::audit(fleet, writers)};
-    return result;
+    return {writers.longestGap(), systemtests::audit(fleet, writers)};
 }
 
 int measureGaps(const std::string &kind, int count)
@@ -178,6 +177,7 @@
     std::atomic<bool> stopping{false};
     std::atomic<std::uint64_t> done{0};
     std::vector<std::thread> threads;
+    threads.reserve(12);
     const double before = total();
     const auto start = Clock::now();
     for (int i = 0; i < 12; ++i) {
--- a/systemtests/src/relay.cpp
+++ b/systemtests/src/relay.cpp
@@ -65,12 +65,10 @@
     Mode before = Mode::Pass;
     while (!m_stopping) {
         const Mode mode = m_mode;
-        if (mode != before && mode == Mode::Refuse) {
-            closeAll();
-        } else if (mode != before && (mode == Mode::SilentOld || mode == Mode::Silent)) {
+        if (mode != before && (mode == Mode::SilentOld || mode == Mode::Silent)) {
             silenceAll();
-        } else if (mode != before && mode == Mode::Pass) {
-            // What had gone silent stays lost, as behind a middlebox that forgot it.
+        } else if (mode != before) {
+            // Refused, or passing again: what had gone silent stays lost, as behind a middlebox that forgot it.
             closeAll();
         }
         before = mode;
--- a/systemtests/src/testfleet.cpp
+++ b/systemtests/src/testfleet.cpp
@@ -91,7 +91,8 @@
 {
     std::string text = "[group]\ndatabase=orders\nslots=2\nconnections=16\nterm=1\nprimary=orders-a\n";
     for (const std::string &domain : domains) {
-        text += "[member orders-" + domain + "]\ndomain=" + domain + "\naddress=" + m_memberRelays[domain]->address() + "\n";
+        text.append("[member orders-").append(domain).append("]\ndomain=").append(domain);
+        text.append("\naddress=").append(m_memberRelays[domain]->address()).append("\n");
     }
     writeObject("group/orders", text, 0);
 }
@@ -286,6 +287,7 @@
 void Writers::loop(int number)
 {
     std::vector<std::unique_ptr<caller::v1::Statements::Stub>> stubs;
+    stubs.reserve(domains.size());
     for (const std::string &domain : domains) {
         stubs.push_back(stubFor<caller::v1::Statements>(m_fleet.instance(domain).address()));
     }
@@ -370,7 +372,9 @@
     }
     std::string problems;
     for (const auto &[id, count] : held) {
-        problems += count == "1" ? "" : id + " stands " + count + " times; ";
+        if (count != "1") {
+            problems.append(id).append(" stands ").append(count).append(" times; ");
+        }
     }
     for (const std::string &id : writers.acknowledged()) {
         problems += held.contains(id) ? "" : id + " was acknowledged and is missing; ";
--- a/systemtests/test/configuration_test.cpp
+++ b/systemtests/test/configuration_test.cpp
@@ -61,6 +61,7 @@
     const std::uint64_t version = fleet.readObject(key).version();
     std::atomic<int> applied{0};
     std::vector<std::thread> operators;
+    operators.reserve(4);
     for (int i = 0; i < 4; ++i) {
         operators.emplace_back([&, i] {
             const auto reply = fleet.writeObject(key, TestFleet::contractText(20 + i), version);
--- a/systemtests/test/instances_test.cpp
+++ b/systemtests/test/instances_test.cpp
@@ -80,7 +80,7 @@
 {
     TestFleet fleet;
     const std::string address = fleet.instance("a").address();
-    const auto check = [&](caller::v1::StatementRequest request, const std::string &message) {
+    const auto check = [&](const caller::v1::StatementRequest &request, const std::string &message) {
         const auto reply = fleet.execute(address, request);
         CHECK(reply.status().message() == message);
         CHECK(reply.status().verdict() == caller::v1::NOT_RUN);
