--- a/daemon/src/main.cpp
+++ b/daemon/src/main.cpp
@@ -2,11 +2,14 @@
 
 #include "rattanbeam/kernel/logevent.h"
 #include "rattanbeam/kernel/settings.h"
+#include "rattanbeam/platform/sessiondaemon.h"
 #include "rattanbeam/proxy/instance.h"
+#include "rattanbeam/sessions/sessionsettings.h"
 
 #include <popt.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <optional>
@@ -16,6 +19,7 @@
 namespace
 {
 
+constexpr const char *settingsVariable = "RATTANBEAM_SETTINGS"; // names the file when --config does not
 constexpr int exitSettings = 2;
 constexpr int exitFailure = 1;
 constexpr int exitCut = 3;
@@ -45,10 +49,12 @@
     if (code < -1) {
         return std::nullopt;
     }
-    return Arguments{file == nullptr ? std::string() : file, onlyCheck != 0, showVersion != 0};
+    const char *fromEnvironment = std::getenv(settingsVariable);
+    const std::string fallback = fromEnvironment == nullptr ? "" : fromEnvironment;
+    return Arguments{file == nullptr ? fallback : file, onlyCheck != 0, showVersion != 0};
 }
 
-std::optional<rattanbeam::kernel::Settings> readSettings(const std::string &file)
+std::optional<std::string> readFile(const std::string &file)
 {
     std::ifstream stream(file);
     if (!stream) {
@@ -57,12 +63,17 @@
     }
     std::ostringstream text;
     text << stream.rdbuf();
-    const auto settings = rattanbeam::kernel::parseSettings(text.str());
+    return text.str();
+}
+
+/// Prints why the settings cannot be used.
+template<typename Settings>
+bool isUsable(const rattanbeam::decisions::Result<Settings> &settings, const std::string &file)
+{
     if (!settings) {
         std::cerr << settings.error().text(file) << '\n';
-        return std::nullopt;
     }
-    return *settings;
+    return static_cast<bool>(settings);
 }
 
 /// Signals that ask for a graceful stop are blocked in all threads and awaited here.
@@ -76,6 +87,41 @@
     return signals;
 }
 
+int runStatements(const Arguments &arguments, const std::string &text)
+{
+    const auto settings = rattanbeam::kernel::parseSettings(text);
+    if (!isUsable(settings, arguments.configFile)) {
+        return exitSettings;
+    }
+    if (arguments.onlyCheck) {
+        std::cout << arguments.configFile << ": ok\n";
+        return 0;
+    }
+    const sigset_t signals = blockStopSignals();
+    rattanbeam::kernel::startLog(settings->logLevel, settings->instance.text());
+    rattanbeam::proxy::Instance instance(*settings);
+    if (!instance.start()) {
+        return exitFailure;
+    }
+    int received = 0;
+    sigwait(&signals, &received);
+    return instance.drain() ? 0 : exitCut;
+}
+
+int runSessions(const Arguments &arguments, const std::string &text)
+{
+    const auto settings = rattanbeam::sessions::parseSessionSettings(text);
+    if (!isUsable(settings, arguments.configFile)) {
+        return exitSettings;
+    }
+    if (arguments.onlyCheck) {
+        std::cout << arguments.configFile << ": ok\n";
+        return 0;
+    }
+    rattanbeam::kernel::startLog(settings->logLevel, settings->instance.text());
+    return rattanbeam::platform::runSessionDaemon(*settings, arguments.configFile);
+}
+
 } // namespace
 
 int main(int argc, const char **argv)
@@ -92,21 +138,9 @@
         std::cerr << "rattanbeamd: --config FILE.ini is needed\n";
         return exitSettings;
     }
-    const auto settings = readSettings(arguments->configFile);
-    if (!settings) {
+    const auto text = readFile(arguments->configFile);
+    if (!text) {
         return exitSettings;
     }
-    if (arguments->onlyCheck) {
-        std::cout << arguments->configFile << ": ok\n";
-        return 0;
-    }
-    const sigset_t signals = blockStopSignals();
-    rattanbeam::kernel::startLog(settings->logLevel, settings->instance.text());
-    rattanbeam::proxy::Instance instance(*settings);
-    if (!instance.start()) {
-        return exitFailure;
-    }
-    int received = 0;
-    sigwait(&signals, &received);
-    return instance.drain() ? 0 : exitCut;
+    return rattanbeam::sessions::asksForSessions(*text) ? runSessions(*arguments, *text) : runStatements(*arguments, *text);
 }
--- /dev/null
+++ b/decisions/src/session/grouphome.cpp
@@ -0,0 +1,358 @@
+#include "rattanbeam/decisions/session/grouphome.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanbeam::decisions::session
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Duration retryPause = 15ms; // before a member that was busy is asked again
+constexpr Duration coverMargin = 20ms;
+constexpr double primaryPenalty = 0.75; // reads leave the primary's slots to what only it can do
+
+} // namespace
+
+GroupHome::GroupHome(ServiceName service, std::string self, const GroupHomeLimits &limits, HomeEffects &effects)
+    : m_service(std::move(service)), m_self(std::move(self)), m_limits(limits), m_effects(effects), m_lease(limits.leaseLength - limits.leaseMargin)
+{}
+
+void GroupHome::setLimits(const GroupHomeLimits &limits)
+{
+    m_limits = limits;
+}
+
+bool GroupHome::needsPrimary(const HomeRequest &request) const
+{
+    return request.consistency == Consistency::Latest || !request.forwarded.isReadOnly;
+}
+
+void GroupHome::request(const HomeRequest &request, TimePoint now)
+{
+    const WorkNumber number = ++m_lastWork;
+    m_work[number].request = request;
+    dispatch(number, now);
+}
+
+void GroupHome::dispatch(WorkNumber number, TimePoint now)
+{
+    const HomeRequest &request = m_work.at(number).request;
+    if (now >= request.deadline) {
+        refuse(number, StatementError::Busy, "deadline", now);
+    } else if (!request.transaction.isNone() && !request.forwarded.opensTransaction) {
+        dispatchPinned(number, now);
+    } else if (needsPrimary(request)) {
+        dispatchToPrimary(number, now);
+    } else {
+        dispatchRead(number, now);
+    }
+}
+
+void GroupHome::dispatchPinned(WorkNumber number, TimePoint now)
+{
+    Work &work = m_work.at(number);
+    const auto found = m_transactions.find(work.request.transaction);
+    if (found == m_transactions.end()) {
+        refuse(number, StatementError::Aborted, "transaction-lost", now);
+        return;
+    }
+    if (found->second.isBusy) {
+        refuse(number, StatementError::Malformed, "statement-under-way", now);
+        return;
+    }
+    found->second.isBusy = true;
+    found->second.lastUsed = now;
+    work.connection = found->second.connection;
+    work.generation = found->second.generation;
+    enqueue(number, found->second.member, true, now);
+}
+
+void GroupHome::dispatchToPrimary(WorkNumber number, TimePoint now)
+{
+    if (m_change.stage == Change::None && now < m_unfitUntil) {
+        moveElsewhere(number, now);
+        return;
+    }
+    if (!isPrimaryUsable()) {
+        ensureListed(now);
+        hold(number, now);
+        return;
+    }
+    enqueueAtPrimary(number, now);
+}
+
+void GroupHome::enqueueAtPrimary(WorkNumber number, TimePoint now)
+{
+    Work &work = m_work.at(number);
+    work.after.reset();
+    work.generation = m_lease.generation();
+    ensureListed(now);
+    enqueue(number, m_primary, false, now);
+}
+
+std::optional<LogPosition> GroupHome::requiredPosition(const HomeRequest &request) const
+{
+    auto required = m_watermark.covering(request.arrivedAt - request.maxStaleness);
+    if (required && request.consistency == Consistency::ReadYourWrites && request.own) {
+        const LogPosition latest = m_watermark.latest().value();
+        // A commit of an ended term that survived is covered by whatever the new primary showed.
+        required = std::max(*required, request.own->term < latest.term ? latest : *request.own);
+    }
+    return required;
+}
+
+bool GroupHome::isCoveredBy(const Member &member, const LogPosition &required, TimePoint now) const
+{
+    if (member.applied >= required) {
+        return true;
+    }
+    const auto reachedAt = m_watermark.reachedAt(required);
+    if (!reachedAt || !member.status || member.status->fencedAt != 0) {
+        return false;
+    }
+    return *reachedAt + std::chrono::milliseconds(member.status->lagMs) + coverMargin <= now;
+}
+
+void GroupHome::dispatchRead(WorkNumber number, TimePoint now)
+{
+    Work &work = m_work.at(number);
+    const auto required = requiredPosition(work.request);
+    work.after = required;
+    const Member *best = nullptr;
+    double bestCost = 0;
+    for (const auto &[id, member] : m_members) {
+        const bool isPrimary = id == m_primary;
+        if (member.health != Health::Up || member.record.isLeaving || !member.isRegistered || (isPrimary && !isPrimaryUsable())) {
+            continue;
+        }
+        if (!isPrimary && (!required || !isCoveredBy(member, *required, now))) {
+            continue;
+        }
+        double waiting = static_cast<double>(member.queue.running());
+        for (const Rank rank : allRanks) {
+            waiting += static_cast<double>(member.queue.waiting(rank));
+        }
+        const double cost = waiting / std::max(1U, member.record.slots) + (isPrimary ? primaryPenalty : 0);
+        if (best == nullptr || cost < bestCost) {
+            best = &member;
+            bestCost = cost;
+        }
+    }
+    if (best == nullptr) {
+        if (now < m_unfitUntil) {
+            moveElsewhere(number, now);
+        } else {
+            hold(number, now);
+        }
+        return;
+    }
+    if (best->record.id == m_primary) {
+        enqueueAtPrimary(number, now);
+        return;
+    }
+    work.generation = 0;
+    enqueue(number, best->record.id, false, now);
+}
+
+void GroupHome::hold(WorkNumber number, TimePoint now)
+{
+    constexpr std::size_t mostHeld = 512;
+    if (m_held.size() >= mostHeld) {
+        refuse(number, StatementError::Busy, "too-many-held", now);
+        return;
+    }
+    m_held.push_back(number);
+}
+
+void GroupHome::releaseHeld(TimePoint now)
+{
+    const std::deque<WorkNumber> held = std::exchange(m_held, {});
+    for (const WorkNumber number : held) {
+        if (m_work.contains(number)) {
+            dispatch(number, now);
+        }
+    }
+}
+
+void GroupHome::enqueue(WorkNumber number, const MemberId &id, bool isPinned, TimePoint now)
+{
+    Work &work = m_work.at(number);
+    Member &member = m_members.at(id);
+    work.member = id;
+    work.isSent = false;
+    work.preparedName
+        = work.request.forwarded.definition.empty() ? std::string() : m_preparedNames.nameOf(work.request.forwarded.definition);
+    QueuedWork queued;
+    queued.id = number;
+    queued.rank = work.request.rank;
+    queued.customer = CustomerId("sessions");
+    queued.deadline = work.request.deadline;
+    queued.connectionLimit = m_limits.maxConnections;
+    queued.pinned = isPinned;
+    if (const auto refusal = member.queue.offer(queued, now)) {
+        refuse(number, StatementError::Busy, refusal->code == ErrorCode::QueueFull ? "queue-full" : "deadline-unreachable", now);
+        return;
+    }
+    pump(member, now);
+}
+
+void GroupHome::pump(Member &member, TimePoint now)
+{
+    for (const QueueDecision &decision : member.queue.advance(now, member.connections.idle())) {
+        if (!m_work.contains(decision.id)) {
+            member.queue.finished(decision.id, now);
+        } else if (decision.isStart()) {
+            start(member, decision.id, now);
+        } else {
+            refuse(decision.id, StatementError::Busy, "deadline-unreachable", now);
+        }
+    }
+    std::size_t waiting = 0;
+    for (const Rank rank : allRanks) {
+        waiting += member.queue.waiting(rank);
+    }
+    if (waiting > member.connections.opening() && member.connections.idle() == 0 && now >= member.nextConnectAt
+        && member.connections.total() < connectionLimit(member)) {
+        openConnection(member, now);
+    }
+}
+
+void GroupHome::start(Member &member, WorkNumber number, TimePoint now)
+{
+    Work &work = m_work.at(number);
+    const ForwardedStatement &forwarded = work.request.forwarded;
+    MemberConnection *connection = work.connection ? member.connections.find(*work.connection)
+                                                   : member.connections.bestIdle(*work.request.values, work.preparedName);
+    if (connection == nullptr) {
+        member.queue.finished(number, now);
+        workLost(number, StatementError::Aborted, now);
+        return;
+    }
+    work.connection = connection->number;
+    work.isOffered = true;
+    connection->work = number;
+    const auto preparation = preparationOf(*connection, *work.request.values, work.preparedName, forwarded.definition);
+    connection->commands.assign(preparation.begin(), preparation.end());
+    MemberCommand command;
+    command.statement = forwarded.statement;
+    command.statement.after.reset();
+    if (forwarded.statement.kind == StatementKind::Execute) {
+        command.statement.name = work.preparedName;
+    }
+    if (forwarded.opensTransaction) {
+        MemberCommand begin;
+        begin.statement.kind = forwarded.isReadOnly ? StatementKind::BeginReadOnly : StatementKind::Begin;
+        begin.statement.after = work.after;
+        connection->commands.push_back(begin);
+    } else if (work.request.transaction.isNone() && forwarded.isReadOnly) {
+        command.statement.after = work.after;
+    }
+    connection->commands.push_back(command);
+    if (!work.request.transaction.isNone()) {
+        connection->pinnedBy = work.request.transaction;
+    }
+    sendNext(member, *connection, now);
+}
+
+void GroupHome::retry(WorkNumber number, StatementError error, const std::string &reason, TimePoint now)
+{
+    Work &work = m_work.at(number);
+    const bool isPinned = !work.request.transaction.isNone() && !work.request.forwarded.opensTransaction;
+    if (isPinned || ++work.attempts >= m_limits.mostAttempts || now >= work.request.deadline) {
+        refuse(number, isPinned ? StatementError::Aborted : error, reason, now);
+        return;
+    }
+    work.connection.reset();
+    work.isSent = false;
+    dispatch(number, now);
+}
+
+std::string GroupHome::retryHint(TimePoint at, TimePoint now) const
+{
+    return "retry-after-ms=" + std::to_string(std::max<std::uint32_t>(1, millisecondsUntil(at, now)));
+}
+
+void GroupHome::refuse(WorkNumber number, StatementError error, const std::string &reason, TimePoint now)
+{
+    const Work &work = m_work.at(number);
+    const bool isChanging = m_change.stage != Change::None;
+    const TimePoint retryAt = isChanging ? std::max(now + retryPause, m_change.startedAt + 1s) : now + retryPause;
+    HomeReply reply;
+    reply.answer = Answer::failure(error,
+                                   reason + ' ' + retryHint(retryAt, now),
+                                   work.request.transaction.isNone() ? SessionPhase::Idle : SessionPhase::Failed);
+    m_effects.report({"request-refused",
+                      false,
+                      {{"request", work.request.forwarded.statement.id},
+                       {"service", m_service.text()},
+                       {"member", work.member.text()},
+                       {"error", std::string(statementErrorName(error))},
+                       {"reason", reason},
+                       {"rank", std::string(rankName(work.request.rank))},
+                       {"held_ms", std::to_string(millisecondsUntil(now, work.request.arrivedAt))},
+                       {"attempts", std::to_string(work.attempts)},
+                       {"stage", std::string(changeName(m_change.stage))}}});
+    finish(number, reply, now);
+}
+
+void GroupHome::moveElsewhere(WorkNumber number, TimePoint now)
+{
+    const Work &work = m_work.at(number);
+    if (work.request.isSubstitute) {
+        refuse(number, StatementError::Busy, "no-home-reaches-the-primary", now);
+        return;
+    }
+    HomeReply reply;
+    reply.answer = Answer::failure(StatementError::Busy, "primary-unreachable-from-here", SessionPhase::Idle);
+    reply.isElsewhere = true;
+    finish(number, reply, now);
+}
+
+/// Answers the request and forgets its work. The transaction that it belongs to ends unless the reply says that it is open.
+void GroupHome::finish(WorkNumber number, const HomeReply &reply, TimePoint now)
+{
+    const Work work = m_work.at(number);
+    m_work.erase(number);
+    const auto found = m_transactions.find(work.request.transaction);
+    if (found != m_transactions.end()) {
+        found->second.isBusy = false;
+        found->second.lastUsed = now;
+        if (!reply.isOpen) {
+            endTransaction(work.request.transaction, now);
+        }
+    }
+    m_effects.reply(work.request.number, reply);
+}
+
+void GroupHome::endTransaction(const TransactionKey &key, TimePoint now)
+{
+    const auto found = m_transactions.find(key);
+    if (found == m_transactions.end()) {
+        return;
+    }
+    const Transaction transaction = found->second;
+    m_transactions.erase(found);
+    const auto member = m_members.find(transaction.member);
+    if (member != m_members.end()) {
+        rollBack(member->second, transaction.connection, now);
+    }
+}
+
+void GroupHome::entryLost(const std::string &entry, TimePoint now)
+{
+    std::vector<TransactionKey> lost;
+    for (const auto &[key, transaction] : m_transactions) {
+        if (key.entry == entry && !transaction.isBusy) {
+            lost.push_back(key);
+        }
+    }
+    for (const TransactionKey &key : lost) {
+        endTransaction(key, now);
+    }
+}
+
+} // namespace rattanbeam::decisions::session
--- /dev/null
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -0,0 +1,694 @@
+#include "rattanbeam/decisions/session/grouphome.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanbeam::decisions::session
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr Duration termReadPause = 150ms; // between reads of the term record
+constexpr Duration termWritePause = 300ms;
+constexpr Duration suspicionPause = 300ms; // before peers are asked again
+constexpr Duration unfitFor = 1000ms;
+constexpr Duration fenceTimeout = 500ms;
+constexpr Duration orderRetry = 250ms;
+constexpr Duration leadPoll = 40ms;
+constexpr Duration resumePause = 500ms;
+constexpr Duration foreignChangeLimit = 2500ms; // after this another home's change of primary is taken over
+
+std::string nameOf(const std::string &home)
+{
+    return home.substr(0, home.rfind('/'));
+}
+
+} // namespace
+
+std::string_view GroupHome::changeName(Change stage)
+{
+    switch (stage) {
+    case Change::None:
+        return "none";
+    case Change::AskingPeers:
+        return "asking-peers";
+    case Change::Quiescing:
+        return "quiescing";
+    case Change::WritingTerm:
+        return "writing-term";
+    case Change::Fencing:
+        return "fencing";
+    case Change::AwaitingLeases:
+        return "awaiting-leases";
+    case Change::Ordering:
+        return "ordering";
+    case Change::AwaitingLead:
+        return "awaiting-lead";
+    }
+    return "unknown";
+}
+
+bool GroupHome::isPrimaryUsable() const
+{
+    const auto found = m_members.find(m_primary);
+    return m_change.stage == Change::None && m_isTermKnown && found != m_members.end() && found->second.health == Health::Up;
+}
+
+std::set<MemberId> GroupHome::replicaIds() const
+{
+    std::set<MemberId> replicas;
+    for (const auto &[id, member] : m_members) {
+        if (id != m_primary && member.isRegistered) {
+            replicas.insert(id);
+        }
+    }
+    return replicas;
+}
+
+void GroupHome::samplePrimary(const LogPosition &position, TimePoint sentAt, TimePoint)
+{
+    // As of the evidence no later promotion had begun, so that commits acknowledged until then are this primary's.
+    const TimePoint until = std::min(sentAt, m_lease.evidence());
+    if (until > longAgo) {
+        m_watermark.sample(position, until);
+    }
+}
+
+void GroupHome::deliverFromPrimary(WorkNumber number, const HomeReply &reply, bool mayHaveWritten, TimePoint sentAt, TimePoint now)
+{
+    if (m_work.at(number).generation == m_lease.generation() && m_lease.covers(now, now)) {
+        finish(number, reply, now);
+        return;
+    }
+    m_awaiting.push_back({number, reply, mayHaveWritten, now, sentAt, m_work.at(number).generation});
+    if (m_work.at(number).generation != m_lease.generation()) {
+        failAwaiting(now);
+        return;
+    }
+    ensureListed(now);
+    for (auto &[id, member] : m_members) {
+        if (id != m_primary && member.health == Health::Up) {
+            askStatus(member, now);
+        }
+    }
+    if (now - m_termReadAt > termReadPause) {
+        m_termReadAt = now;
+        m_effects.readTerm();
+    }
+}
+
+void GroupHome::releaseEvidenced(TimePoint now)
+{
+    std::deque<AwaitingEvidence> kept;
+    for (AwaitingEvidence &awaiting : std::exchange(m_awaiting, {})) {
+        if (!m_work.contains(awaiting.work)) {
+            continue;
+        }
+        if (awaiting.generation == m_lease.generation() && m_lease.covers(awaiting.answeredAt, now)) {
+            finish(awaiting.work, awaiting.reply, now);
+        } else {
+            kept.push_back(std::move(awaiting));
+        }
+    }
+    m_awaiting.insert(m_awaiting.end(), kept.begin(), kept.end());
+}
+
+/// Answers that can no longer be shown to be the true primary's, or whose time is up.
+void GroupHome::failAwaiting(TimePoint now)
+{
+    std::deque<AwaitingEvidence> kept;
+    for (AwaitingEvidence &awaiting : std::exchange(m_awaiting, {})) {
+        const auto found = m_work.find(awaiting.work);
+        if (found == m_work.end()) {
+            continue;
+        }
+        const bool isOver = awaiting.generation != m_lease.generation() || now >= found->second.request.deadline;
+        if (!isOver) {
+            kept.push_back(std::move(awaiting));
+        } else if (awaiting.mayHaveWritten) {
+            refuse(awaiting.work, StatementError::InDoubt, "no-evidence-of-the-term", now);
+        } else {
+            refuse(awaiting.work,
+                   found->second.request.transaction.isNone() ? StatementError::Busy : StatementError::Aborted,
+                   "no-evidence-of-the-term",
+                   now);
+        }
+    }
+    m_awaiting.insert(m_awaiting.end(), kept.begin(), kept.end());
+}
+
+/// Makes this home one of those that a promoter waits for.
+void GroupHome::ensureListed(TimePoint now)
+{
+    if (m_isWritingTerm || m_change.stage != Change::None || now - m_termWriteAt < termWritePause) {
+        return;
+    }
+    if (!m_isTermKnown) {
+        if (now - m_termReadAt > termReadPause) {
+            m_termReadAt = now;
+            m_effects.readTerm();
+        }
+        return;
+    }
+    TermRecord record;
+    if (m_term) {
+        if (m_lease.isListed() || m_term->primary.isEmpty()) {
+            return;
+        }
+        record = *m_term;
+        record.homes.erase(std::remove_if(record.homes.begin(),
+                                          record.homes.end(),
+                                          [&](const std::string &home) {
+                                              return nameOf(home) == nameOf(m_self);
+                                          }),
+                           record.homes.end());
+    } else {
+        const auto first = std::find_if(m_members.begin(), m_members.end(), [](const auto &entry) {
+            return entry.second.isRegistered && entry.second.record.saysPrimary;
+        });
+        if (first == m_members.end()) {
+            return;
+        }
+        record.service = m_service;
+        record.generation = 1;
+        record.primary = first->first;
+    }
+    record.homes.push_back(m_self);
+    m_isWritingTerm = true;
+    m_termWriteAt = now;
+    m_effects.writeTerm(record, m_termRevision);
+}
+
+void GroupHome::termSeen(const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt, TimePoint now)
+{
+    m_isTermKnown = true;
+    if (!record) {
+        releaseHeld(now);
+        return;
+    }
+    if (revision < m_termRevision) {
+        return;
+    }
+    m_termRevision = revision;
+    const bool isListed = std::find(record->homes.begin(), record->homes.end(), m_self) != record->homes.end();
+    if (isListed) {
+        m_isWritingTerm = false;
+    }
+    const bool isNewer = !m_term || record->generation > m_term->generation;
+    const bool isNamed = m_term && record->generation == m_term->generation && record->primary != m_term->primary;
+    const bool isOwnChange = m_change.stage == Change::WritingTerm && record->primary.isEmpty() && !record->homes.empty()
+        && record->homes.front() == m_self;
+    if (isNewer || (isNamed && m_change.stage == Change::None)) {
+        adoptTerm(*record, now);
+        m_lease.restart(record->generation, isListed, replicaIds());
+        failAwaiting(now);
+        dropSupersededWork(now);
+    } else {
+        m_term = record;
+    }
+    m_lease.storeRead(record->generation, isListed, startedAt);
+    const bool isOwnLateWrite = m_change.stage == Change::None && isNewer && record->primary.isEmpty() && !record->homes.empty()
+        && record->homes.front() == m_self;
+    if (isOwnChange || isOwnLateWrite) {
+        m_change.token = revision;
+        fenceReplicas(now);
+    } else if (m_change.stage != Change::None && isNewer) {
+        abandonChange("another-home-changes-the-primary", now);
+    }
+    releaseEvidenced(now);
+    releaseHeld(now);
+}
+
+void GroupHome::adoptTerm(const TermRecord &record, TimePoint now)
+{
+    m_effects.report({"term-adopted",
+                      false,
+                      {{"service", m_service.text()},
+                       {"generation", std::to_string(record.generation)},
+                       {"primary", record.primary.text()},
+                       {"previous", m_primary.text()},
+                       {"homes", std::to_string(record.homes.size())}}});
+    m_term = record;
+    m_primary = record.primary;
+    if (m_change.stage == Change::None) {
+        m_change.startedAt = now;
+    }
+    const auto member = m_members.find(m_primary);
+    if (member != m_members.end()) {
+        member->second.statusSentAt = longAgo;
+    }
+}
+
+/// Work given to the primary of an earlier generation can no longer be answered with success.
+void GroupHome::dropSupersededWork(TimePoint now)
+{
+    std::vector<std::pair<MemberId, ConnectionNumber>> superseded;
+    for (const auto &[number, work] : m_work) {
+        if (work.generation != 0 && work.generation != m_lease.generation() && work.connection) {
+            superseded.emplace_back(work.member, *work.connection);
+        }
+    }
+    for (const auto &[key, transaction] : m_transactions) {
+        if (transaction.generation != 0 && transaction.generation != m_lease.generation()) {
+            superseded.emplace_back(transaction.member, transaction.connection);
+        }
+    }
+    for (const auto &[id, connection] : superseded) {
+        const auto member = m_members.find(id);
+        if (member != m_members.end()) {
+            dropConnection(member->second, connection, false, StatementError::InDoubt, now);
+        }
+    }
+    std::vector<WorkNumber> waiting;
+    for (const auto &[number, work] : m_work) {
+        const auto member = m_members.find(work.member);
+        const bool isSuperseded = work.generation != 0 && work.generation != m_lease.generation() && !work.isSent;
+        if (isSuperseded && member != m_members.end() && member->second.queue.cancel(number)) {
+            waiting.push_back(number);
+        }
+    }
+    for (const WorkNumber number : waiting) {
+        if (m_work.contains(number)) {
+            retry(number, StatementError::Busy, "primary-changes", now);
+        }
+    }
+}
+
+void GroupHome::termWriteFailed(TimePoint now)
+{
+    m_isWritingTerm = false;
+    m_termWriteAt = now;
+    if (m_change.stage == Change::WritingTerm) {
+        abandonChange("term-not-written", now);
+    }
+    m_termReadAt = now;
+    m_effects.readTerm();
+}
+
+void GroupHome::setStage(Change stage, TimePoint until)
+{
+    m_effects.report({"primary-change",
+                      false,
+                      {{"service", m_service.text()},
+                       {"stage", std::string(changeName(stage))},
+                       {"planned", m_change.isPlanned ? "true" : "false"},
+                       {"from", m_change.from.text()},
+                       {"candidate", m_change.candidate.text()},
+                       {"generation", std::to_string(m_term ? m_term->generation : 0)},
+                       {"token", std::to_string(m_change.token)}}});
+    m_change.stage = stage;
+    m_change.stageUntil = until;
+}
+
+void GroupHome::suspectPrimary(std::string_view cause, TimePoint now)
+{
+    if (m_change.stage != Change::None || !m_isTermKnown || !m_term || m_primary.isEmpty()) {
+        return;
+    }
+    const auto member = m_members.find(m_primary);
+    m_effects.report({"primary-suspected",
+                      true,
+                      {{"service", m_service.text()}, {"member", m_primary.text()}, {"cause", std::string(cause)}}});
+    m_change = {};
+    m_change.from = m_primary;
+    m_change.fromTerm = member == m_members.end() ? 0 : member->second.applied.term;
+    m_change.startedAt = now;
+    setStage(Change::AskingPeers, now + m_limits.peersTimeout);
+    if (member != m_members.end()) {
+        member->second.peersAskedAt = now;
+    }
+    if (cause == "says-replica" || cause == "read-only" || cause == "gone") {
+        m_effects.readTerm();
+        beginTermWrite(now);
+        return;
+    }
+    m_effects.askPeers(m_primary);
+}
+
+void GroupHome::peersAnswered(const MemberId &id, std::size_t reachable, std::size_t unreachable, TimePoint now)
+{
+    if (m_change.stage != Change::AskingPeers || id != m_change.from) {
+        return;
+    }
+    m_effects.report({"peers-answered",
+                      false,
+                      {{"service", m_service.text()},
+                       {"member", id.text()},
+                       {"reachable", std::to_string(reachable)},
+                       {"unreachable", std::to_string(unreachable)}}});
+    if (reachable > 0) {
+        m_unfitUntil = now + unfitFor;
+        abandonChange("peers-reach-the-primary", now);
+    } else if (unreachable == 0) {
+        abandonChange("no-peer-answered", now);
+    } else {
+        beginTermWrite(now);
+    }
+}
+
+void GroupHome::beginTermWrite(TimePoint now)
+{
+    TermRecord record;
+    record.service = m_service;
+    record.generation = m_term ? m_term->generation + 1 : 1;
+    record.homes.push_back(m_self);
+    m_change.awaitedHomes.clear();
+    if (m_term) {
+        for (const std::string &home : m_term->homes) {
+            if (nameOf(home) != nameOf(m_self)) {
+                m_change.awaitedHomes.insert(home);
+            }
+        }
+    }
+    setStage(Change::WritingTerm, now + 2s);
+    m_termWriteAt = now;
+    m_effects.writeTerm(record, m_termRevision);
+}
+
+void GroupHome::fenceReplicas(TimePoint now)
+{
+    m_change.leasesUntil = now + m_limits.leaseLength + m_limits.leaseMargin;
+    for (const std::string &home : m_change.awaitedHomes) {
+        m_effects.askToYield(home, m_term->generation);
+    }
+    m_change.awaitedFences.clear();
+    m_change.fenced.clear();
+    setStage(Change::Fencing, now + fenceTimeout);
+    m_change.finalPosition.reset();
+    for (auto &[id, member] : m_members) {
+        const bool isCandidate = id != m_change.from && member.isRegistered && !member.record.isLeaving && member.health != Health::Down;
+        if (isCandidate) {
+            m_change.awaitedFences.insert(id);
+            member.statusSentAt = longAgo;
+        }
+    }
+    advanceChange(now);
+}
+
+void GroupHome::memberSeenWhileFencing(const Member &member, const ReplicationStatus &status, TimePoint now)
+{
+    const MemberId id = member.record.id;
+    if (id == m_change.from) {
+        if (!status.isPrimary) {
+            m_change.finalPosition = status.received;
+        }
+        return;
+    }
+    if (status.isPrimary && status.term > m_change.fromTerm) {
+        // It leads already: an earlier promotion was not published, or none took effect. The latest term goes first.
+        m_change.fenced[id] = {status.term, UINT64_MAX};
+        m_change.awaitedFences.erase(id);
+        if (m_change.awaitedFences.empty()) {
+            chooseCandidate(now);
+        }
+        return;
+    }
+    const bool isReady = m_change.isPlanned ? m_change.finalPosition && status.received >= *m_change.finalPosition : status.fencedAt != 0;
+    m_change.fenced[id] = status.received;
+    if (m_change.isPlanned && isReady) {
+        chooseCandidate(now);
+        return;
+    }
+    if (isReady) {
+        m_change.awaitedFences.erase(id);
+    }
+    if (m_change.awaitedFences.empty()) {
+        chooseCandidate(now);
+    }
+}
+
+std::optional<MemberId> GroupHome::mostAdvanced() const
+{
+    std::optional<MemberId> best;
+    LogPosition highest;
+    for (const auto &[id, received] : m_change.fenced) {
+        const auto member = m_members.find(id);
+        const bool isFit = member != m_members.end() && member->second.health == Health::Up && !member->second.record.isLeaving;
+        if (isFit && (!best || received > highest)) {
+            best = id;
+            highest = received;
+        }
+    }
+    return best;
+}
+
+void GroupHome::chooseCandidate(TimePoint now)
+{
+    const auto best = mostAdvanced();
+    if (!best) {
+        abandonChange("no-candidate", now);
+        return;
+    }
+    m_change.candidate = *best;
+    const auto from = m_members.find(m_change.from);
+    const LogPosition received = m_change.fenced.at(*best);
+    const LogPosition last = from == m_members.end() ? LogPosition{} : from->second.applied;
+    m_effects.report({"candidate-chosen",
+                      last > received,
+                      {{"service", m_service.text()},
+                       {"candidate", best->text()},
+                       {"fenced", std::to_string(m_change.fenced.size())},
+                       {"lost_at_most", std::to_string(last > received ? last.position - received.position : 0)}}});
+    setStage(Change::AwaitingLeases, m_change.leasesUntil);
+    advanceChange(now);
+}
+
+void GroupHome::homeYielded(const std::string &home, std::uint64_t generation, TimePoint now)
+{
+    if (m_term && generation >= m_term->generation) {
+        m_change.awaitedHomes.erase(home);
+        advanceChange(now);
+    }
+}
+
+void GroupHome::order(TimePoint now)
+{
+    m_change.lastOrderAt = now;
+    setStage(Change::Ordering, now + m_limits.promotionTimeout);
+    m_effects.orderPromotion(m_change.candidate, m_change.token);
+}
+
+void GroupHome::promotionAnswered(const MemberId &member, PromotionResult result, TimePoint now)
+{
+    if (m_change.stage != Change::Ordering || member != m_change.candidate) {
+        return;
+    }
+    switch (result) {
+    case PromotionResult::Accepted:
+        setStage(Change::AwaitingLead, now + m_limits.promotionTimeout);
+        break;
+    case PromotionResult::Rejected:
+        m_change.fenced.erase(member);
+        chooseCandidate(now);
+        break;
+    case PromotionResult::Unavailable:
+        m_change.lastOrderAt = now; // asked again after a pause
+        break;
+    }
+}
+
+void GroupHome::primaryLeads(TimePoint now)
+{
+    m_primary = m_change.candidate;
+    m_term->primary = m_primary;
+    m_effects.report({"primary-changed",
+                      false,
+                      {{"service", m_service.text()},
+                       {"primary", m_primary.text()},
+                       {"previous", m_change.from.text()},
+                       {"planned", m_change.isPlanned ? "true" : "false"},
+                       {"took_ms", std::to_string(millisecondsUntil(now, m_change.startedAt))}}});
+    m_change = {};
+    const bool isListed = std::find(m_term->homes.begin(), m_term->homes.end(), m_self) != m_term->homes.end();
+    m_lease.restart(m_term->generation, isListed, replicaIds());
+    m_lease.storeRead(m_term->generation, isListed, m_termReadAt);
+    m_isWritingTerm = true;
+    m_termWriteAt = now;
+    m_effects.writeTerm(*m_term, m_termRevision);
+    resumeFenced(now);
+    releaseHeld(now);
+}
+
+void GroupHome::abandonChange(std::string_view cause, TimePoint now)
+{
+    if (m_change.stage == Change::None) {
+        return;
+    }
+    m_effects.report({"primary-change-abandoned",
+                      true,
+                      {{"service", m_service.text()}, {"stage", std::string(changeName(m_change.stage))}, {"cause", std::string(cause)}}});
+    m_change = {};
+    m_change.startedAt = now;
+    releaseHeld(now);
+}
+
+void GroupHome::resumeFenced(TimePoint now)
+{
+    for (auto &[id, member] : m_members) {
+        const bool isFenced = member.status && member.status->fencedAt != 0 && id != m_primary;
+        if (isFenced && member.health == Health::Up) {
+            sendMaintenance(member, CommandKind::Resume, 0, now);
+        }
+    }
+}
+
+void GroupHome::considerPlanned(TimePoint now)
+{
+    const auto member = m_members.find(m_primary);
+    if (member == m_members.end() || member->second.health != Health::Up || !m_term) {
+        return;
+    }
+    const bool isLapsed = !member->second.isRegistered && now - member->second.unregisteredAt > m_limits.lapseGrace;
+    if (!member->second.record.isLeaving && !isLapsed) {
+        return;
+    }
+    const bool hasReplica = std::any_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
+        return entry.first != m_primary && entry.second.health == Health::Up && entry.second.isRegistered && !entry.second.record.isLeaving;
+    });
+    if (!hasReplica || now - m_change.startedAt < suspicionPause) {
+        return;
+    }
+    m_change = {};
+    m_change.isPlanned = true;
+    m_change.from = m_primary;
+    m_change.fromTerm = member == m_members.end() ? 0 : member->second.applied.term;
+    m_change.startedAt = now;
+    setStage(Change::Quiescing, now + m_limits.quiesceLimit);
+}
+
+/// Evidence that replicas cannot give is read from the store.
+void GroupHome::renewEvidence(TimePoint now)
+{
+    const bool isNeeded = m_isFirst || !isQuiet();
+    if (isNeeded && isPrimaryUsable() && now - m_lease.evidence() > m_limits.leaseLength / 2 && now - m_termReadAt > m_limits.statusInterval) {
+        m_termReadAt = now;
+        m_effects.readTerm();
+    }
+}
+
+/// No change of primary is under way: looks for a reason to begin one.
+void GroupHome::superviseIdle(TimePoint now)
+{
+    renewEvidence(now);
+    const auto member = m_members.find(m_primary);
+    const bool isDown = member == m_members.end() || member->second.health == Health::Down;
+    const bool isForeignStuck = m_term && m_term->primary.isEmpty() && now - m_change.startedAt > foreignChangeLimit;
+    if (isForeignStuck) {
+        m_change = {};
+        m_change.startedAt = now;
+        beginTermWrite(now);
+    } else if (isDown && !m_primary.isEmpty() && now - m_change.startedAt > suspicionPause && now >= m_unfitUntil
+               && (m_isFirst || !m_held.empty())) {
+        suspectPrimary(member == m_members.end() ? "gone" : "down", now);
+    } else {
+        considerPlanned(now);
+    }
+    if (m_change.stage != Change::None || !m_term || m_term->primary.isEmpty() || now - m_change.startedAt < resumePause) {
+        return;
+    }
+    for (auto &[id, each] : m_members) {
+        const bool isFenced = each.status && each.status->fencedAt != 0 && id != m_primary && each.health == Health::Up;
+        if (isFenced && sendMaintenance(each, CommandKind::Resume, 0, now)) {
+            m_change.startedAt = now;
+        }
+    }
+}
+
+void GroupHome::advanceFencing(TimePoint now)
+{
+    const auto from = m_members.find(m_change.from);
+    if (m_change.isPlanned && !m_change.finalPosition && from != m_members.end() && now - from->second.statusSentAt >= leadPoll
+        && sendMaintenance(from->second, CommandKind::Demote, m_highestTerm + 1, now)) {
+        from->second.statusSentAt = now;
+    }
+    for (const MemberId &id : std::set<MemberId>(m_change.awaitedFences)) {
+        const auto found = m_members.find(id);
+        if (found == m_members.end() || now - found->second.statusSentAt < leadPoll) {
+            continue;
+        }
+        const CommandKind kind = m_change.isPlanned ? CommandKind::Status : CommandKind::Suspend;
+        if (sendMaintenance(found->second, kind, m_highestTerm + 1, now)) {
+            found->second.statusSentAt = now;
+        }
+    }
+    if (now >= m_change.stageUntil) {
+        chooseCandidate(now);
+    }
+}
+
+void GroupHome::advanceChange(TimePoint now)
+{
+    switch (m_change.stage) {
+    case Change::None:
+        failAwaiting(now);
+        superviseIdle(now);
+        break;
+    case Change::AskingPeers:
+        if (now >= m_change.stageUntil + 200ms) {
+            abandonChange("peers-silent", now);
+        }
+        break;
+    case Change::Quiescing: {
+        const auto member = m_members.find(m_change.from);
+        const bool isBusy = std::any_of(m_transactions.begin(),
+                                        m_transactions.end(),
+                                        [&](const auto &entry) {
+                                            return entry.second.member == m_change.from;
+                                        })
+            || (member != m_members.end() && member->second.queue.running() > 0);
+        if (!isBusy || now >= m_change.stageUntil) {
+            beginTermWrite(now);
+        }
+        break;
+    }
+    case Change::WritingTerm:
+        if (now >= m_change.stageUntil) {
+            abandonChange("term-write-silent", now);
+            m_termReadAt = now;
+            m_effects.readTerm();
+        }
+        break;
+    case Change::Fencing:
+        advanceFencing(now);
+        break;
+    case Change::AwaitingLeases:
+        if (m_change.awaitedHomes.empty() || now >= m_change.leasesUntil) {
+            order(now);
+        }
+        break;
+    case Change::Ordering:
+        if (now >= m_change.stageUntil) {
+            abandonChange("promotion-not-accepted", now);
+        } else if (now - m_change.lastOrderAt > orderRetry * 2) {
+            m_change.lastOrderAt = now;
+            m_effects.orderPromotion(m_change.candidate, m_change.token);
+        }
+        break;
+    case Change::AwaitingLead: {
+        const auto candidate = m_members.find(m_change.candidate);
+        if (candidate == m_members.end() || candidate->second.health == Health::Down || now >= m_change.stageUntil) {
+            abandonChange("candidate-does-not-lead", now);
+        } else if (now - candidate->second.statusSentAt >= leadPoll) {
+            askStatus(candidate->second, now);
+        }
+        break;
+    }
+    }
+}
+
+void GroupHome::yield(std::uint64_t generation, TimePoint now)
+{
+    if (m_lease.generation() < generation) {
+        m_lease.restart(generation, false, replicaIds());
+        m_primary = MemberId();
+        failAwaiting(now);
+        dropSupersededWork(now);
+    }
+    m_termReadAt = now;
+    m_effects.readTerm();
+}
+
+} // namespace rattanbeam::decisions::session
--- /dev/null
+++ b/decisions/src/session/memberconnections.cpp
@@ -0,0 +1,132 @@
+#include "rattanbeam/decisions/session/memberconnections.h"
+
+#include <algorithm>
+
+namespace rattanbeam::decisions::session
+{
+
+namespace
+{
+
+/// A value once set can only be changed or, with all others, reset.
+bool needsReset(const MemberConnection &connection, const SessionValues &values)
+{
+    return std::any_of(connection.values.begin(), connection.values.end(), [&](const auto &held) {
+        return !values.contains(held.first);
+    });
+}
+
+MemberCommand ownStatement(StatementKind kind, const std::string &name, const std::string &arguments)
+{
+    MemberCommand command;
+    command.statement.kind = kind;
+    command.statement.name = name;
+    command.statement.arguments = arguments;
+    return command;
+}
+
+} // namespace
+
+std::string_view connectFailureName(ConnectFailure failure)
+{
+    switch (failure) {
+    case ConnectFailure::Refused:
+        return "refused";
+    case ConnectFailure::TimedOut:
+        return "timed-out";
+    case ConnectFailure::WrongMember:
+        return "wrong-member";
+    case ConnectFailure::Overloaded:
+        return "overloaded";
+    case ConnectFailure::Lost:
+        return "lost";
+    }
+    return "unknown";
+}
+
+const std::string &PreparedNames::nameOf(const std::string &definition)
+{
+    const auto found = m_names.find(definition);
+    if (found != m_names.end()) {
+        return found->second;
+    }
+    return m_names.emplace(definition, "p" + std::to_string(m_names.size() + 1)).first->second;
+}
+
+MemberConnection &MemberConnections::add(ConnectionNumber number, TimePoint now)
+{
+    MemberConnection &connection = m_connections[number];
+    connection.number = number;
+    connection.openedAt = now;
+    return connection;
+}
+
+MemberConnection *MemberConnections::find(ConnectionNumber number)
+{
+    const auto found = m_connections.find(number);
+    return found == m_connections.end() ? nullptr : &found->second;
+}
+
+MemberConnection *MemberConnections::bestIdle(const SessionValues &values, const std::string &preparedName)
+{
+    MemberConnection *best = nullptr;
+    std::size_t fewest = 0;
+    for (auto &[number, connection] : m_connections) {
+        if (!connection.isIdle()) {
+            continue;
+        }
+        const std::size_t steps = preparationOf(connection, values, preparedName, preparedName).size();
+        if (best == nullptr || steps < fewest) {
+            best = &connection;
+            fewest = steps;
+        }
+    }
+    return best;
+}
+
+std::size_t MemberConnections::idle() const
+{
+    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &entry) {
+        return entry.second.isIdle();
+    }));
+}
+
+std::size_t MemberConnections::opening() const
+{
+    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &entry) {
+        return !entry.second.isOpen;
+    }));
+}
+
+std::size_t MemberConnections::pinned() const
+{
+    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &entry) {
+        return entry.second.pinnedBy.has_value();
+    }));
+}
+
+std::vector<MemberCommand> preparationOf(const MemberConnection &connection,
+                                         const SessionValues &values,
+                                         const std::string &preparedName,
+                                         const std::string &definition)
+{
+    std::vector<MemberCommand> commands;
+    const bool isReset = needsReset(connection, values);
+    if (isReset) {
+        MemberCommand reset;
+        reset.kind = CommandKind::Reset;
+        commands.push_back(reset);
+    }
+    for (const auto &[name, value] : values) {
+        const auto held = connection.values.find(name);
+        if (isReset || held == connection.values.end() || held->second != value) {
+            commands.push_back(ownStatement(StatementKind::SetValue, name, value));
+        }
+    }
+    if (!preparedName.empty() && (isReset || !connection.prepared.contains(preparedName))) {
+        commands.push_back(ownStatement(StatementKind::Prepare, preparedName, definition));
+    }
+    return commands;
+}
+
+} // namespace rattanbeam::decisions::session
--- /dev/null
+++ b/sessions/include/rattanbeam/sessions/internal/directory.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "rattanbeam/sessions/eventloop.h"
+#include "rattanbeam/sessions/ports.h"
+
+#include "link.pb.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rattanbeam::sessions::internal
+{
+
+/// What this instance knows of the fleet: configuration, members, instances and terms, followed in the store. A
+/// configuration version never goes back; a record never goes back to an earlier revision.
+class Directory
+{
+public:
+    using TermListener = std::function<void(const ServiceName &, const std::optional<TermRecord> &, std::uint64_t revision, TimePoint startedAt)>;
+
+    Directory(EventLoop &loop, RecordStore &store);
+
+    void start();
+    /// Called after each change of configuration, members or instances.
+    void onChange(std::function<void()> listener)
+    {
+        m_listener = std::move(listener);
+    }
+    void onTerm(TermListener listener)
+    {
+        m_termListener = std::move(listener);
+    }
+    /// Takes in what a peer knows, while the store cannot be reached.
+    void merge(const link::v1::Snapshot &snapshot);
+    link::v1::Snapshot snapshot() const;
+    /// Reads the term record of one service now.
+    void readTerm(const ServiceName &service);
+
+    const std::optional<FleetConfiguration> &configuration() const
+    {
+        return m_configuration;
+    }
+    std::vector<MemberRecord> members() const;
+    std::vector<InstanceRecord> instances() const;
+    const std::map<std::string, Record> &instanceRecords() const
+    {
+        return m_instances.records;
+    }
+    /// The term record as last seen; the revision is 0 when there is none.
+    std::pair<std::optional<TermRecord>, std::uint64_t> term(const ServiceName &service) const;
+    bool areTermsKnown() const
+    {
+        return m_terms.isKnown;
+    }
+    bool isReady() const
+    {
+        return m_configuration.has_value() && m_members.isKnown && m_instances.isKnown;
+    }
+    bool isStoreReachable() const
+    {
+        return m_isStoreReachable;
+    }
+
+private:
+    struct Followed {
+        Collection collection;
+        std::map<std::string, Record> records;
+        std::uint64_t revision = 0;
+        bool isKnown = false;
+        decisions::Duration backoff{};
+    };
+
+    void list(Followed &followed);
+    void watch(Followed &followed);
+    void listed(Followed &followed, const std::vector<Record> &records, std::uint64_t revision, TimePoint startedAt);
+    void changed(Followed &followed, const std::vector<Record> &records, TimePoint startedAt);
+    bool apply(Followed &followed, const Record &record, TimePoint startedAt);
+    void retry(Followed &followed, StoreOutcome outcome, bool isWatch);
+    void storeAnswered(StoreOutcome outcome);
+    void adoptConfiguration(const FleetConfiguration &configuration, const char *source);
+
+    EventLoop &m_loop;
+    RecordStore &m_store;
+    std::optional<FleetConfiguration> m_configuration;
+    Followed m_configurations{Collection::Configuration, {}, 0, false, {}};
+    Followed m_members{Collection::Members, {}, 0, false, {}};
+    Followed m_instances{Collection::Instances, {}, 0, false, {}};
+    Followed m_terms{Collection::Terms, {}, 0, false, {}};
+    bool m_isStoreReachable = true;
+    std::function<void()> m_listener;
+    TermListener m_termListener;
+};
+
+} // namespace rattanbeam::sessions::internal
--- /dev/null
+++ b/sessions/include/rattanbeam/sessions/internal/peerlinks.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "rattanbeam/sessions/internal/instancelink.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace rattanbeam::sessions::internal
+{
+
+/// Streams to the instances that this one asks, opened on demand. A stream counts as usable once the other side has
+/// answered a ping; frames wait until then, so that what was never handed over is known not to have run.
+class PeerLinks
+{
+public:
+    /// `sent` frames may have been handled, `unsent` ones were not.
+    using Lost = std::function<void(const std::string &address, const std::deque<Frame> &unsent)>;
+    using Arrived = std::function<void(const std::string &address, const Frame &frame)>;
+
+    PeerLinks(EventLoop &loop, Arrived arrived, Lost lost);
+
+    /// False when the instance was found unreachable a moment ago; nothing was sent then.
+    bool send(const std::string &address, const Frame &frame);
+    bool isUsable(const std::string &address) const;
+    /// Whether a send now would be refused.
+    bool isSuspect(const std::string &address) const;
+    bool isLeaving(const std::string &address) const;
+    /// To be called every few milliseconds.
+    void tick();
+
+private:
+    struct Link {
+        std::shared_ptr<FrameStream> stream;
+        bool isEstablished = false;
+        bool isLeaving = false;
+        std::deque<Frame> unsent;
+        std::uint64_t pingNumber = 0;
+        decisions::TimePoint pingSentAt = decisions::longAgo;
+        bool isPingOwed = false;
+        decisions::TimePoint lastUsed = decisions::longAgo;
+        decisions::TimePoint suspectUntil = decisions::longAgo;
+        decisions::Duration backoff{};
+        std::uint64_t generation = 0;
+    };
+
+    void open(const std::string &address, Link &link);
+    void ping(Link &link);
+    void arrived(const std::string &address, std::uint64_t generation, const Frame &frame);
+    void fail(const std::string &address, std::uint64_t generation, const char *cause);
+
+    EventLoop &m_loop;
+    Arrived m_arrived;
+    Lost m_lost;
+    std::map<std::string, Link> m_links;
+};
+
+} // namespace rattanbeam::sessions::internal
--- /dev/null
+++ b/sessions/include/rattanbeam/sessions/sessionsettings.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "rattanbeam/decisions/identifiers.h"
+#include "rattanbeam/decisions/result.h"
+#include "rattanbeam/kernel/logevent.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace rattanbeam::sessions
+{
+
+/// Settings of an instance that serves sessions, from its INI file. docs/CONFIGURATION.md explains each key.
+struct SessionSettings {
+    decisions::InstanceId instance;
+    decisions::FailureDomain domain;
+    std::string ip;
+    /// Where clients connect, where readiness is asked for, and where other instances connect.
+    std::string frontAddress;
+    std::string readinessAddress;
+    std::string peerAddress;
+    std::string metricsAddress;
+    std::vector<std::string> seeds;
+    /// The platform's services.
+    std::string storeAddress;
+    std::string promotionAddress;
+    /// Time from the request to stop until the process is killed.
+    std::chrono::milliseconds grace{};
+    kernel::LogLevel logLevel = kernel::LogLevel::Info;
+    /// Lines a second that the log may take for requests that succeed.
+    std::uint32_t logLinesPerSecond = 0;
+
+    auto operator<=>(const SessionSettings &) const = default;
+};
+
+decisions::Result<SessionSettings> parseSessionSettings(const std::string &text);
+
+/// Whether the text asks for the sessions interface.
+bool asksForSessions(const std::string &text);
+
+} // namespace rattanbeam::sessions
--- /dev/null
+++ b/sessions/src/internal/homeservice.cpp
@@ -0,0 +1,469 @@
+#include "rattanbeam/sessions/internal/homeservice.h"
+
+#include "rattanbeam/decisions/homeassignment.h"
+#include "rattanbeam/kernel/logevent.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanbeam::sessions::internal
+{
+
+using decisions::InstanceId;
+using kernel::LogEvent;
+using kernel::LogLevel;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds connectTimeout = 500ms;
+constexpr std::chrono::milliseconds probeTimeout = 300ms;
+constexpr decisions::Duration inquiryTimeout = 400ms;
+constexpr std::size_t peersAsked = 3;
+
+HomeRequest homeRequest(const std::string &entry, const link::v1::StatementRequest &message, RequestNumber number, TimePoint now)
+{
+    HomeRequest request;
+    request.number = number;
+    if (message.transaction() != 0) {
+        request.transaction = {entry, message.session(), message.transaction()};
+    }
+    request.forwarded.transaction = message.transaction();
+    request.forwarded.opensTransaction = message.opens();
+    request.forwarded.isReadOnly = message.read_only();
+    request.forwarded.definition = message.definition();
+    request.forwarded.statement.id = message.id();
+    request.forwarded.statement.kind = static_cast<StatementKind>(message.kind());
+    request.forwarded.statement.name = message.name();
+    request.forwarded.statement.arguments = message.arguments();
+    request.consistency = static_cast<Consistency>(std::min(message.consistency(), 2U));
+    request.rank = static_cast<decisions::Rank>(std::min(message.rank(), 2U));
+    request.maxStaleness = std::chrono::milliseconds(message.max_staleness_ms());
+    request.arrivedAt = now;
+    request.deadline = now + std::chrono::milliseconds(message.timeout_ms());
+    request.objectiveAt = now + std::chrono::milliseconds(message.objective_ms());
+    SessionValues values;
+    for (const auto &value : message.values()) {
+        values[value.name()] = value.value();
+    }
+    request.values = std::make_shared<const SessionValues>(std::move(values));
+    if (message.has_own()) {
+        request.own = decisions::LogPosition{message.own().term(), message.own().number()};
+    }
+    request.isSubstitute = message.substitute();
+    return request;
+}
+
+link::v1::StatementReply statementReply(std::uint64_t request, const HomeReply &reply)
+{
+    link::v1::StatementReply message;
+    message.set_request(request);
+    for (const std::string &row : reply.answer.rows) {
+        message.add_rows(row);
+    }
+    message.set_signature(reply.answer.signature);
+    message.set_error(static_cast<std::uint32_t>(reply.answer.error));
+    message.set_error_text(reply.answer.errorText);
+    message.set_phase(static_cast<std::uint32_t>(reply.answer.phase));
+    if (reply.answer.position) {
+        message.mutable_position()->set_term(reply.answer.position->term);
+        message.mutable_position()->set_number(reply.answer.position->position);
+    }
+    message.set_elsewhere(reply.isElsewhere);
+    message.set_is_open(reply.isOpen);
+    return message;
+}
+
+} // namespace
+
+std::vector<InstanceRecord> homeOrder(const ServiceName &service, const std::vector<InstanceRecord> &instances)
+{
+    std::map<InstanceId, InstanceRecord> byId;
+    std::vector<InstanceId> ids;
+    for (const InstanceRecord &instance : instances) {
+        if (!instance.isLeaving) {
+            byId[instance.id] = instance;
+            ids.push_back(instance.id);
+        }
+    }
+    std::vector<InstanceRecord> order;
+    for (const InstanceId &id : decisions::rendezvousOrder(service.text(), ids)) {
+        order.push_back(byId.at(id));
+    }
+    return order;
+}
+
+/// One service's home with the effects of its decisions.
+class HomeService::Group : public HomeEffects
+{
+public:
+    Group(HomeService &service, ServiceName name)
+        : m_service(service), m_name(std::move(name)), m_home(m_name, service.m_self, GroupHomeLimits(), *this)
+    {}
+
+    GroupHome &home()
+    {
+        return m_home;
+    }
+
+    void openConnection(ConnectionNumber number, const MemberRecord &member) override
+    {
+        MemberLinkEvents events;
+        events.opened = [this, number] {
+            m_home.connectionOpened(number, EventLoop::now());
+        };
+        events.failed = [this, number](ConnectFailure failure) {
+            m_links.erase(number);
+            m_home.connectionFailed(number, failure, EventLoop::now());
+        };
+        events.answered = [this, number](const Answer &answer, const std::optional<ReplicationStatus> &status) {
+            m_home.answered(number, answer, status, EventLoop::now());
+        };
+        m_links[number] = m_service.m_ports.members->connect(member, connectTimeout, std::move(events));
+    }
+    void sendCommand(ConnectionNumber number, const MemberCommand &command) override
+    {
+        const auto found = m_links.find(number);
+        if (found != m_links.end()) {
+            found->second->send(command);
+        }
+    }
+    void closeConnection(ConnectionNumber number) override
+    {
+        m_links.erase(number);
+    }
+    void reply(RequestNumber request, const HomeReply &reply) override
+    {
+        const auto found = m_service.m_replies.find(request);
+        if (found == m_service.m_replies.end()) {
+            return;
+        }
+        const Reply answer = std::move(found->second);
+        m_service.m_replies.erase(found);
+        answer(statementReply(request, reply));
+    }
+    void writeTerm(const TermRecord &record, std::uint64_t expectedRevision) override
+    {
+        const TimePoint startedAt = EventLoop::now();
+        const auto answered = [this, startedAt](StoreOutcome outcome, const std::optional<Record> &current) {
+            const bool isSeen = (outcome == StoreOutcome::Done || outcome == StoreOutcome::Conflict) && current;
+            if (isSeen && std::holds_alternative<TermRecord>(current->value)) {
+                m_home.termSeen(std::get<TermRecord>(current->value), current->revision, startedAt, EventLoop::now());
+            }
+            if (outcome != StoreOutcome::Done) {
+                LogEvent("term-write-failed", LogLevel::Warning).with("service", m_name).with("outcome", static_cast<int>(outcome));
+                m_home.termWriteFailed(EventLoop::now());
+            }
+        };
+        m_service.m_ports.store->write(Collection::Terms, m_name.text(), record, expectedRevision, answered);
+    }
+    void readTerm() override
+    {
+        m_service.m_directory.readTerm(m_name);
+    }
+    void askPeers(const MemberId &member) override
+    {
+        m_service.askPeers(m_name, member);
+    }
+    void askToYield(const std::string &home, std::uint64_t generation) override
+    {
+        m_service.askToYield(m_name, home, generation);
+    }
+    void orderPromotion(const MemberId &member, std::uint64_t token) override
+    {
+        m_service.m_ports.promotions->order(m_name, member, m_service.m_settings.instance.text(), token, [this, member](PromotionResult result) {
+            m_home.promotionAnswered(member, result, EventLoop::now());
+        });
+    }
+    void report(const HomeEvent &event) override
+    {
+        LogEvent line(event.name, event.isWarning ? LogLevel::Warning : LogLevel::Info);
+        for (const auto &[key, value] : event.fields) {
+            line.with(key, value);
+        }
+    }
+
+private:
+    HomeService &m_service;
+    ServiceName m_name;
+    std::map<ConnectionNumber, std::unique_ptr<MemberLink>> m_links;
+    GroupHome m_home;
+};
+
+HomeService::HomeService(EventLoop &loop,
+                         const SessionSettings &settings,
+                         std::uint64_t incarnation,
+                         Directory &directory,
+                         PeerLinks &links,
+                         Ports &ports)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_self(settings.instance.text() + '/' + std::to_string(incarnation))
+    , m_directory(directory)
+    , m_links(links)
+    , m_ports(ports)
+{}
+
+HomeService::~HomeService() = default;
+
+HomeService::Group *HomeService::group(const ServiceName &service)
+{
+    const auto found = m_groups.find(service);
+    if (found != m_groups.end()) {
+        return found->second.get();
+    }
+    Group &group = *m_groups.emplace(service, std::make_unique<Group>(*this, service)).first->second;
+    feedGroup(group);
+    return &group;
+}
+
+bool HomeService::isFirstHome(const ServiceName &service) const
+{
+    const auto order = homeOrder(service, m_directory.instances());
+    return !m_isLeaving && !order.empty() && order.front().id == m_settings.instance;
+}
+
+void HomeService::feedGroup(Group &group)
+{
+    const TimePoint now = EventLoop::now();
+    for (const auto &[name, each] : m_groups) {
+        if (each.get() != &group) {
+            continue;
+        }
+        GroupHomeLimits limits;
+        if (m_directory.configuration()) {
+            limits.maxConnections = m_directory.configuration()->maxConnections(name);
+            limits.reservedConnections = std::max(3U, limits.maxConnections / 4);
+            limits.transactionIdle = std::chrono::milliseconds(m_directory.configuration()->transactionIdleMs);
+        }
+        group.home().setLimits(limits);
+        group.home().setFirst(isFirstHome(name));
+        group.home().membersChanged(m_directory.members(), now);
+        if (m_directory.areTermsKnown()) {
+            const auto [term, revision] = m_directory.term(name);
+            group.home().termSeen(term, revision, decisions::longAgo, now);
+        }
+    }
+}
+
+void HomeService::handle(const std::string &entry, const link::v1::StatementRequest &message, Reply reply)
+{
+    const TimePoint now = EventLoop::now();
+    const RequestNumber number = ++m_lastRequest;
+    const std::uint64_t theirs = message.request();
+    const bool isContinued = message.transaction() != 0 && !message.opens();
+    if (m_isLeaving && !isContinued) {
+        HomeReply refusal;
+        refusal.answer = Answer::failure(StatementError::Busy, "home-leaving", SessionPhase::Idle);
+        refusal.isElsewhere = true;
+        reply(statementReply(theirs, refusal));
+        return;
+    }
+    m_replies[number] = [theirs, reply = std::move(reply)](const link::v1::StatementReply &answer) {
+        link::v1::StatementReply renumbered = answer;
+        renumbered.set_request(theirs);
+        reply(renumbered);
+    };
+    group(ServiceName(message.service()))->home().request(homeRequest(entry, message, number, now), now);
+}
+
+void HomeService::endTransaction(const std::string &entry, const link::v1::TransactionEnd &end)
+{
+    const TimePoint now = EventLoop::now();
+    for (auto &[name, group] : m_groups) {
+        group->home().endTransaction({entry, end.session(), end.transaction()}, now);
+    }
+}
+
+void HomeService::entryLost(const std::string &entry)
+{
+    for (auto &[name, group] : m_groups) {
+        group->home().entryLost(entry, EventLoop::now());
+    }
+}
+
+void HomeService::probe(const link::v1::ProbeRequest &request, std::function<void(bool)> reply)
+{
+    const auto members = m_directory.members();
+    const auto found = std::find_if(members.begin(), members.end(), [&](const MemberRecord &member) {
+        return member.id.text() == request.member();
+    });
+    if (found == members.end()) {
+        reply(false);
+        return;
+    }
+    const std::uint64_t number = ++m_lastInquiry;
+    const auto end = [this, number, reply](bool isReachable) {
+        m_probes.erase(number);
+        reply(isReachable);
+    };
+    MemberLinkEvents events;
+    events.opened = [end] {
+        end(true);
+    };
+    events.failed = [end](ConnectFailure failure) {
+        end(failure == ConnectFailure::Overloaded);
+    };
+    m_probes[number] = m_ports.members->connect(*found, probeTimeout, std::move(events));
+}
+
+void HomeService::fence(const link::v1::FenceRequest &request)
+{
+    const auto found = m_groups.find(ServiceName(request.service()));
+    if (found != m_groups.end()) {
+        found->second->home().yield(request.generation(), EventLoop::now());
+    }
+    LogEvent("lease-yielded").with("service", request.service()).with("generation", request.generation());
+}
+
+void HomeService::askPeers(const ServiceName &service, const MemberId &member)
+{
+    const std::uint64_t number = ++m_lastInquiry;
+    std::vector<InstanceRecord> peers = m_directory.instances();
+    std::stable_partition(peers.begin(), peers.end(), [&](const InstanceRecord &peer) {
+        return peer.domain != m_settings.domain;
+    });
+    Inquiry inquiry;
+    inquiry.service = service;
+    inquiry.member = member;
+    std::map<decisions::FailureDomain, int> asked;
+    for (const InstanceRecord &peer : peers) {
+        const bool isUseful = peer.id != m_settings.instance && !peer.isLeaving && asked[peer.domain] < 2 && inquiry.asked < peersAsked;
+        link::v1::Frame frame;
+        frame.mutable_probe()->set_number(number);
+        frame.mutable_probe()->set_service(service.text());
+        frame.mutable_probe()->set_member(member.text());
+        if (isUseful && m_links.send(peer.address, frame)) {
+            ++inquiry.asked;
+            ++asked[peer.domain];
+        }
+    }
+    const bool isAlone = m_directory.instances().size() <= 1;
+    inquiry.unreachable = isAlone ? 1 : 0;
+    m_inquiries[number] = inquiry;
+    m_loop.after(inquiry.asked == 0 ? decisions::Duration(10ms) : inquiryTimeout, [this, number] {
+        endInquiry(number);
+    });
+}
+
+void HomeService::probeAnswered(const link::v1::ProbeReply &reply)
+{
+    const auto found = m_inquiries.find(reply.number());
+    if (found == m_inquiries.end()) {
+        return;
+    }
+    ++(reply.reachable() ? found->second.reachable : found->second.unreachable);
+    // One that reaches the member settles it; so do all that were asked.
+    if (reply.reachable() || found->second.unreachable >= found->second.asked) {
+        endInquiry(reply.number());
+    }
+}
+
+void HomeService::endInquiry(std::uint64_t number)
+{
+    const auto found = m_inquiries.find(number);
+    if (found == m_inquiries.end()) {
+        return;
+    }
+    const Inquiry inquiry = found->second;
+    m_inquiries.erase(found);
+    const auto group = m_groups.find(inquiry.service);
+    if (group != m_groups.end()) {
+        group->second->home().peersAnswered(inquiry.member, inquiry.reachable, inquiry.unreachable, EventLoop::now());
+    }
+}
+
+void HomeService::askToYield(const ServiceName &service, const std::string &home, std::uint64_t generation)
+{
+    const std::string name = home.substr(0, home.rfind('/'));
+    const auto &records = m_directory.instanceRecords();
+    const auto found = records.find(name);
+    if (found == records.end()) {
+        return; // the lease lapses
+    }
+    const auto &instance = std::get<InstanceRecord>(found->second.value);
+    if (home != name + '/' + std::to_string(instance.incarnation)) {
+        m_loop.post([this, service, home, generation] {
+            group(service)->home().homeYielded(home, generation, EventLoop::now());
+        });
+        return;
+    }
+    const std::uint64_t number = ++m_lastInquiry;
+    m_yieldRequests[number] = {service, home, generation};
+    link::v1::Frame frame;
+    frame.mutable_fence()->set_number(number);
+    frame.mutable_fence()->set_service(service.text());
+    frame.mutable_fence()->set_generation(generation);
+    m_links.send(instance.address, frame);
+}
+
+void HomeService::fenceAnswered(const link::v1::FenceReply &reply)
+{
+    const auto found = m_yieldRequests.find(reply.number());
+    if (found == m_yieldRequests.end()) {
+        return;
+    }
+    const YieldRequest request = found->second;
+    m_yieldRequests.erase(found);
+    group(request.service)->home().homeYielded(request.home, request.generation, EventLoop::now());
+}
+
+void HomeService::fleetChanged()
+{
+    if (m_directory.configuration() && m_directory.isReady()) {
+        for (const ServiceLimits &limits : m_directory.configuration()->services) {
+            if (isFirstHome(limits.service)) {
+                group(limits.service);
+            }
+        }
+    }
+    for (auto &[name, group] : m_groups) {
+        feedGroup(*group);
+    }
+}
+
+void HomeService::termSeen(const ServiceName &service, const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt)
+{
+    const TimePoint now = EventLoop::now();
+    for (auto &[name, group] : m_groups) {
+        if (service.isEmpty() || name == service) {
+            group->home().termSeen(record, revision, startedAt, now);
+        }
+    }
+}
+
+void HomeService::tick()
+{
+    const TimePoint now = EventLoop::now();
+    for (auto &[name, group] : m_groups) {
+        group->home().tick(now);
+    }
+}
+
+bool HomeService::isQuiet() const
+{
+    return std::all_of(m_groups.begin(), m_groups.end(), [](const auto &entry) {
+        return entry.second->home().isQuiet();
+    });
+}
+
+std::size_t HomeService::connections() const
+{
+    std::size_t total = 0;
+    for (const auto &[name, group] : m_groups) {
+        total += group->home().connections();
+    }
+    return total;
+}
+
+std::size_t HomeService::openTransactions() const
+{
+    std::size_t total = 0;
+    for (const auto &[name, group] : m_groups) {
+        total += group->home().openTransactions();
+    }
+    return total;
+}
+
+} // namespace rattanbeam::sessions::internal
--- /dev/null
+++ b/sessions/src/internal/peerlinks.cpp
@@ -0,0 +1,156 @@
+#include "rattanbeam/sessions/internal/peerlinks.h"
+
+#include "rattanbeam/kernel/logevent.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace rattanbeam::sessions::internal
+{
+
+using decisions::TimePoint;
+using kernel::LogEvent;
+using kernel::LogLevel;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr decisions::Duration pingInterval = 250ms;
+constexpr decisions::Duration pingTimeout = 500ms;
+constexpr decisions::Duration usedFor = 2s; // links without traffic for longer are not pinged
+constexpr decisions::Duration leastBackoff = 200ms;
+constexpr decisions::Duration mostBackoff = 1s;
+constexpr std::size_t mostUnsent = 1024;
+
+} // namespace
+
+PeerLinks::PeerLinks(EventLoop &loop, Arrived arrived, Lost lost) : m_loop(loop), m_arrived(std::move(arrived)), m_lost(std::move(lost))
+{}
+
+bool PeerLinks::send(const std::string &address, const Frame &frame)
+{
+    Link &link = m_links[address];
+    const TimePoint now = EventLoop::now();
+    link.lastUsed = now;
+    if (!link.stream) {
+        if (now < link.suspectUntil) {
+            return false;
+        }
+        open(address, link);
+    }
+    if (!link.isEstablished) {
+        if (link.unsent.size() >= mostUnsent) {
+            return false;
+        }
+        link.unsent.push_back(frame);
+        return true;
+    }
+    link.stream->write(frame);
+    return true;
+}
+
+bool PeerLinks::isUsable(const std::string &address) const
+{
+    const auto found = m_links.find(address);
+    return found != m_links.end() && found->second.isEstablished;
+}
+
+bool PeerLinks::isSuspect(const std::string &address) const
+{
+    const auto found = m_links.find(address);
+    return found != m_links.end() && !found->second.stream && EventLoop::now() < found->second.suspectUntil;
+}
+
+bool PeerLinks::isLeaving(const std::string &address) const
+{
+    const auto found = m_links.find(address);
+    return found != m_links.end() && found->second.isLeaving;
+}
+
+void PeerLinks::open(const std::string &address, Link &link)
+{
+    const std::uint64_t generation = ++link.generation;
+    link.isEstablished = false;
+    link.isLeaving = false;
+    FrameEvents events;
+    events.arrived = [this, address, generation](const Frame &frame) {
+        arrived(address, generation, frame);
+    };
+    events.ended = [this, address, generation] {
+        fail(address, generation, "ended");
+    };
+    link.stream = connectInstance(m_loop, address, std::move(events));
+    ping(link);
+}
+
+void PeerLinks::ping(Link &link)
+{
+    Frame frame;
+    frame.mutable_ping()->set_number(++link.pingNumber);
+    link.pingSentAt = EventLoop::now();
+    link.isPingOwed = true;
+    link.stream->write(frame);
+}
+
+void PeerLinks::arrived(const std::string &address, std::uint64_t generation, const Frame &frame)
+{
+    Link &link = m_links[address];
+    if (generation != link.generation || !link.stream) {
+        return;
+    }
+    link.isPingOwed = false;
+    if (!link.isEstablished) {
+        link.isEstablished = true;
+        link.backoff = {};
+        LogEvent("peer-reached").with("peer", address);
+        for (const Frame &waiting : std::exchange(link.unsent, {})) {
+            link.stream->write(waiting);
+        }
+    }
+    if (frame.has_pong()) {
+        link.isLeaving = frame.pong().leaving();
+        return;
+    }
+    m_arrived(address, frame);
+}
+
+void PeerLinks::fail(const std::string &address, std::uint64_t generation, const char *cause)
+{
+    Link &link = m_links[address];
+    if (generation != link.generation || !link.stream) {
+        return;
+    }
+    const bool wasEstablished = link.isEstablished;
+    link.stream->close();
+    link.stream.reset();
+    link.isEstablished = false;
+    link.backoff = wasEstablished ? decisions::Duration(leastBackoff / 4)
+                                  : std::clamp<decisions::Duration>(link.backoff * 2, leastBackoff, mostBackoff);
+    link.suspectUntil = EventLoop::now() + link.backoff;
+    LogEvent("peer-lost", LogLevel::Warning).with("peer", address).with("cause", cause).with("unsent", link.unsent.size());
+    const std::deque<Frame> unsent = std::exchange(link.unsent, {});
+    m_lost(address, unsent);
+}
+
+void PeerLinks::tick()
+{
+    const TimePoint now = EventLoop::now();
+    std::vector<std::pair<std::string, std::uint64_t>> silent;
+    for (auto &[address, link] : m_links) {
+        if (!link.stream) {
+            continue;
+        }
+        if (link.isPingOwed && now - link.pingSentAt > pingTimeout) {
+            silent.emplace_back(address, link.generation);
+        } else if (!link.isPingOwed && link.isEstablished && now - link.pingSentAt > pingInterval && now - link.lastUsed < usedFor) {
+            ping(link);
+        }
+    }
+    for (const auto &[address, generation] : silent) {
+        fail(address, generation, "silent");
+    }
+}
+
+} // namespace rattanbeam::sessions::internal
--- /dev/null
+++ b/sessions/src/sessionsettings.cpp
@@ -0,0 +1,84 @@
+#include "rattanbeam/sessions/sessionsettings.h"
+
+#include "rattanbeam/decisions/inireader.h"
+
+#include <sstream>
+
+namespace rattanbeam::sessions
+{
+
+using decisions::IniReader;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+bool isAddress(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    return colon != std::string::npos && colon > 0 && colon + 1 < text.size()
+        && text.find_first_not_of("0123456789.", 0) == colon && text.find_first_not_of("0123456789", colon + 1) == std::string::npos;
+}
+
+std::string address(IniReader &reader, const std::string &section, const std::string &key, bool isRequired)
+{
+    const std::string text = isRequired ? reader.requiredText(section, key) : reader.text(section, key, "");
+    if (!text.empty() && !isAddress(text)) {
+        reader.fail(section, key, "'" + text + "' is not an IP address and port");
+    }
+    return text;
+}
+
+std::vector<std::string> commaSeparated(IniReader &reader, const std::string &section, const std::string &key)
+{
+    std::vector<std::string> parts;
+    std::istringstream stream(reader.text(section, key, ""));
+    for (std::string part; std::getline(stream, part, ',');) {
+        if (!part.empty() && !isAddress(part)) {
+            reader.fail(section, key, "'" + part + "' is not an IP address and port");
+        }
+        if (!part.empty()) {
+            parts.push_back(part);
+        }
+    }
+    return parts;
+}
+
+} // namespace
+
+decisions::Result<SessionSettings> parseSessionSettings(const std::string &text)
+{
+    IniReader reader(text);
+    SessionSettings settings;
+    reader.choice("interface", "kind", {"sessions"}, "sessions");
+    settings.instance = decisions::InstanceId(reader.requiredText("instance", "name"));
+    settings.domain = decisions::FailureDomain(reader.requiredText("instance", "domain"));
+    settings.ip = reader.requiredText("instance", "ip");
+    settings.frontAddress = address(reader, "listen", "front", true);
+    settings.readinessAddress = address(reader, "listen", "readiness", true);
+    settings.peerAddress = address(reader, "listen", "peers", true);
+    const auto metricsPort = reader.integer("listen", "metrics-port", {0, 65535}, 0);
+    settings.metricsAddress = metricsPort == 0 ? std::string() : settings.ip + ':' + std::to_string(metricsPort);
+    settings.seeds = commaSeparated(reader, "peers", "seeds");
+    settings.storeAddress = address(reader, "platform", "store", true);
+    settings.promotionAddress = address(reader, "platform", "promotions", false);
+    settings.grace = reader.duration("limits", "grace", {500, 600'000}, 6s);
+    const std::string level = reader.choice("log", "level", {"debug", "info", "warning", "error"}, "info");
+    settings.logLevel = level == "debug"     ? kernel::LogLevel::Debug
+                        : level == "warning" ? kernel::LogLevel::Warning
+                        : level == "error"   ? kernel::LogLevel::Error
+                                             : kernel::LogLevel::Info;
+    settings.logLinesPerSecond = static_cast<std::uint32_t>(reader.integer("log", "lines-per-second", {0, 100'000}, 20));
+    if (const auto error = reader.finish()) {
+        return *error;
+    }
+    return settings;
+}
+
+bool asksForSessions(const std::string &text)
+{
+    IniReader reader(text);
+    return reader.choice("interface", "kind", {"statements", "sessions"}, "statements") == "sessions";
+}
+
+} // namespace rattanbeam::sessions
