--- a/decisions/include/rattanbeam/decisions/rankqueue.h
+++ b/decisions/include/rattanbeam/decisions/rankqueue.h
@@ -28,6 +28,8 @@
     std::size_t connectionLimit = 1;
     /// The statement's transaction already holds a connection.
     bool pinned = false;
+    /// Work that is not expected to start by then is refused at once.
+    TimePoint startBy = TimePoint::max();
 
     auto operator<=>(const QueuedWork &) const = default;
 };
@@ -162,6 +164,7 @@
         TimePoint startedAt;
     };
 
+    Duration backlogAhead(Rank rank) const;
     Duration meanService(Rank rank) const;
     double usedSeconds(Rank rank, TimePoint now) const;
     bool mayStart(Rank rank, TimePoint now, std::size_t freeConnections) const;
@@ -171,7 +174,7 @@
     std::optional<CustomerKey> nextCustomer(Rank rank, std::size_t freeConnections) const;
     QueuedWork takeNext(Rank rank, const CustomerKey &customer);
     void remove(RankState &state, WorkId id);
-    bool isFull(Rank rank, TimePoint now) const;
+    bool isFull(Rank rank, TimePoint now, TimePoint startBy) const;
     bool makeRoom(const QueuedWork &work, TimePoint now);
     void refuseLate(TimePoint now, std::vector<QueueDecision> &decisions);
 
--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -20,8 +20,8 @@
 struct GroupHomeLimits {
     Duration statusInterval = std::chrono::milliseconds(400);
     /// A member that owes an answer and says nothing for this long is asked on a new connection.
-    Duration silence = std::chrono::milliseconds(600);
-    Duration connectTimeout = std::chrono::milliseconds(500);
+    Duration silence = std::chrono::milliseconds(500);
+    Duration connectTimeout = std::chrono::milliseconds(400);
     Duration leaseLength = std::chrono::milliseconds(1500);
     /// Clocks may run this much apart within one lease.
     Duration leaseMargin = std::chrono::milliseconds(150);
@@ -79,6 +79,8 @@
     /// Another home asks for this one's lease below `generation`.
     void yield(std::uint64_t generation, TimePoint now);
 
+    /// This process stood still for `pause`: silence in that time says nothing about others.
+    void paused(Duration pause);
     /// Ends what is overdue. To be called every few milliseconds.
     void tick(TimePoint now);
 
@@ -120,7 +122,8 @@
         std::optional<ReplicationStatus> status;
         LogPosition applied;
         TimePoint peersAskedAt = longAgo;
-        bool isReachedByPeers = false;
+        /// What peers said since the member went silent: how many reach it, how many do not.
+        std::optional<std::pair<std::size_t, std::size_t>> peerVerdict;
         std::size_t connectionCap = 0; ///< 0: none was met
     };
     struct Work {
@@ -205,6 +208,11 @@
     std::size_t connectionLimit(const Member &member) const;
     void sendNext(Member &member, MemberConnection &connection, TimePoint now);
     void applyPreparation(MemberConnection &connection, const MemberCommand &command);
+    void maintenanceAnswered(Member &member,
+                             MemberConnection &connection,
+                             const MemberCommand &command,
+                             const std::optional<ReplicationStatus> &status,
+                             TimePoint now);
     void statementAnswered(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now);
     void statementFailed(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now);
     void settle(Member &member, MemberConnection &connection, const Work &work, const Answer &answer, TimePoint now);
@@ -232,13 +240,15 @@
     void samplePrimary(const LogPosition &position, TimePoint sentAt, TimePoint now);
     std::set<MemberId> replicaIds() const;
     void suspectPrimary(std::string_view cause, TimePoint now);
+    void askPeersAhead(Member &member, TimePoint now);
+    void judgePeers(std::size_t reachable, std::size_t unreachable, TimePoint now);
     void considerPlanned(TimePoint now);
     void advanceChange(TimePoint now);
     void beginTermWrite(TimePoint now);
     void fenceReplicas(TimePoint now);
     void memberSeenWhileFencing(const Member &member, const ReplicationStatus &status, TimePoint now);
     void chooseCandidate(TimePoint now);
-    void order(TimePoint now);
+    void orderIfNewest(TimePoint now);
     void primaryLeads(TimePoint now);
     void abandonChange(std::string_view cause, TimePoint now);
     void setStage(Change stage, TimePoint until);
--- a/decisions/include/rattanbeam/decisions/session/memberconnections.h
+++ b/decisions/include/rattanbeam/decisions/session/memberconnections.h
@@ -22,8 +22,9 @@
     SessionValues values;
     std::set<std::string> prepared;
     std::optional<TransactionKey> pinnedBy;
-    /// Commands not yet answered; the first has been sent.
+    /// Commands not yet answered; the first has been sent if an answer is owed.
     std::deque<MemberCommand> commands;
+    bool isAnswerOwed = false;
     std::optional<WorkNumber> work;
     TimePoint sentAt = longAgo;
     TimePoint idleSince = longAgo;
--- a/decisions/include/rattanbeam/decisions/session/primarylease.h
+++ b/decisions/include/rattanbeam/decisions/session/primarylease.h
@@ -38,6 +38,11 @@
     bool covers(TimePoint answeredAt, TimePoint now) const;
     /// Time as of which no later promotion had begun.
     TimePoint evidence() const;
+    /// Start of the last read of the term record that showed this generation.
+    TimePoint lastStoreRead() const
+    {
+        return m_storeRead;
+    }
     bool isListed() const
     {
         return m_isListed;
--- a/decisions/src/rankqueue.cpp
+++ b/decisions/src/rankqueue.cpp
@@ -44,7 +44,7 @@
 {
     RankState &state = m_ranks[work.rank];
     state.lastOffered = now;
-    if (isFull(work.rank, now) && !makeRoom(work, now)) {
+    if (isFull(work.rank, now, work.startBy) && !makeRoom(work, now)) {
         return Outcome::refusal(ErrorCode::QueueFull, expectedStart(work.rank, now));
     }
     if (work.deadline < now + meanService(work.rank)) {
@@ -58,9 +58,12 @@
     return std::nullopt;
 }
 
-bool RankQueue::isFull(Rank rank, TimePoint now) const
+bool RankQueue::isFull(Rank rank, TimePoint now, TimePoint startBy) const
 {
     const Duration longest = m_limits.longestWait[rank];
+    if (startBy != TimePoint::max() && now + backlogAhead(rank) > startBy) {
+        return true;
+    }
     return m_ranks[rank].waiting.size() >= m_limits.capacity || (longest > Duration::zero() && expectedStart(rank, now) > now + longest);
 }
 
@@ -169,6 +172,18 @@
     return now + fromSeconds(backlog / (slots * share));
 }
 
+/// Time that the slots need for what waits now and goes first.
+Duration RankQueue::backlogAhead(Rank rank) const
+{
+    double seconds = 0;
+    for (const Rank each : allRanks) {
+        if (each <= rank) {
+            seconds += std::chrono::duration<double>(meanService(each)).count() * static_cast<double>(m_ranks[each].waiting.size());
+        }
+    }
+    return fromSeconds(seconds / static_cast<double>(std::max<std::size_t>(1, m_limits.slots)));
+}
+
 Duration RankQueue::meanService(Rank rank) const
 {
     const double measured = m_ranks[rank].meanServiceSeconds;
--- a/decisions/src/session/grouphome.cpp
+++ b/decisions/src/session/grouphome.cpp
@@ -191,6 +191,7 @@
     queued.rank = work.request.rank;
     queued.customer = CustomerId("sessions");
     queued.deadline = work.request.deadline;
+    queued.startBy = isPinned ? TimePoint::max() : work.request.objectiveAt;
     queued.connectionLimit = m_limits.maxConnections;
     queued.pinned = isPinned;
     if (const auto refusal = member.queue.offer(queued, now)) {
--- a/decisions/src/session/grouphomefailover.cpp
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -17,6 +17,7 @@
 constexpr Duration unfitFor = 1000ms;
 constexpr Duration fenceTimeout = 500ms;
 constexpr Duration orderRetry = 250ms;
+constexpr Duration orderEvidence = 400ms; // oldest sight of the own term that allows an order
 constexpr Duration leadPoll = 40ms;
 constexpr Duration resumePause = 500ms;
 constexpr Duration foreignChangeLimit = 2500ms; // after this another home's change of primary is taken over
@@ -219,6 +220,9 @@
         abandonChange("another-home-changes-the-primary", now);
     }
     releaseEvidenced(now);
+    if (m_change.stage == Change::AwaitingLeases) {
+        advanceChange(now);
+    }
     releaseHeld(now);
 }
 
@@ -317,26 +321,51 @@
     m_change.fromTerm = member == m_members.end() ? 0 : member->second.applied.term;
     m_change.startedAt = now;
     setStage(Change::AskingPeers, now + m_limits.peersTimeout);
-    if (member != m_members.end()) {
-        member->second.peersAskedAt = now;
-    }
     if (cause == "says-replica" || cause == "read-only" || cause == "gone") {
         m_effects.readTerm();
         beginTermWrite(now);
         return;
     }
+    if (member != m_members.end() && now - member->second.peersAskedAt < m_limits.peersTimeout + m_limits.connectTimeout) {
+        if (const auto verdict = member->second.peerVerdict) {
+            judgePeers(verdict->first, verdict->second, now);
+        }
+        return; // they were asked when the silence began
+    }
+    if (member != m_members.end()) {
+        member->second.peersAskedAt = now;
+    }
     m_effects.askPeers(m_primary);
 }
 
-void GroupHome::peersAnswered(const MemberId &id, std::size_t reachable, std::size_t unreachable, TimePoint now)
+/// Peers look while this home tries a new connection, so that both answers come together.
+void GroupHome::askPeersAhead(Member &member, TimePoint now)
 {
-    if (m_change.stage != Change::AskingPeers || id != m_change.from) {
+    if (now - member.peersAskedAt < m_limits.peersTimeout) {
         return;
     }
+    member.peersAskedAt = now;
+    member.peerVerdict.reset();
+    m_effects.askPeers(member.record.id);
+}
+
+void GroupHome::peersAnswered(const MemberId &id, std::size_t reachable, std::size_t unreachable, TimePoint now)
+{
+    const auto member = m_members.find(id);
+    if (member != m_members.end() && member->second.health != Health::Up) {
+        member->second.peerVerdict = {reachable, unreachable};
+    }
+    if (m_change.stage == Change::AskingPeers && id == m_change.from) {
+        judgePeers(reachable, unreachable, now);
+    }
+}
+
+void GroupHome::judgePeers(std::size_t reachable, std::size_t unreachable, TimePoint now)
+{
     m_effects.report({"peers-answered",
                       false,
                       {{"service", m_service.text()},
-                       {"member", id.text()},
+                       {"member", m_change.from.text()},
                        {"reachable", std::to_string(reachable)},
                        {"unreachable", std::to_string(unreachable)}}});
     if (reachable > 0) {
@@ -464,10 +493,23 @@
     }
 }
 
-void GroupHome::order(TimePoint now)
+/// An order with an outdated token must never follow one with a later token.
+void GroupHome::orderIfNewest(TimePoint now)
 {
+    if (now - m_lease.lastStoreRead() > orderEvidence) {
+        if (now - m_termReadAt > termReadPause) {
+            m_termReadAt = now;
+            m_effects.readTerm();
+        }
+        if (now >= m_change.leasesUntil + m_limits.promotionTimeout) {
+            abandonChange("store-silent", now);
+        }
+        return;
+    }
     m_change.lastOrderAt = now;
-    setStage(Change::Ordering, now + m_limits.promotionTimeout);
+    if (m_change.stage != Change::Ordering) {
+        setStage(Change::Ordering, now + m_limits.promotionTimeout);
+    }
     m_effects.orderPromotion(m_change.candidate, m_change.token);
 }
 
@@ -656,15 +698,14 @@
         break;
     case Change::AwaitingLeases:
         if (m_change.awaitedHomes.empty() || now >= m_change.leasesUntil) {
-            order(now);
+            orderIfNewest(now);
         }
         break;
     case Change::Ordering:
         if (now >= m_change.stageUntil) {
             abandonChange("promotion-not-accepted", now);
         } else if (now - m_change.lastOrderAt > orderRetry * 2) {
-            m_change.lastOrderAt = now;
-            m_effects.orderPromotion(m_change.candidate, m_change.token);
+            orderIfNewest(now);
         }
         break;
     case Change::AwaitingLead: {
--- a/decisions/src/session/grouphomemembers.cpp
+++ b/decisions/src/session/grouphomemembers.cpp
@@ -125,7 +125,7 @@
         m_effects.report({"member-reached", false, {{"service", m_service.text()}, {"member", member->record.id.text()}}});
         member->statusSentAt = longAgo;
     }
-    member->isReachedByPeers = false;
+    member->peerVerdict.reset();
     pump(*member, now);
     if (member->health == Health::Up && now - member->statusSentAt >= m_limits.statusInterval) {
         askStatus(*member, now);
@@ -260,9 +260,10 @@
 
 void GroupHome::sendNext(Member &member, MemberConnection &connection, TimePoint now)
 {
-    if (connection.commands.empty()) {
+    if (connection.commands.empty() || connection.isAnswerOwed) {
         return;
     }
+    connection.isAnswerOwed = true;
     const MemberCommand &command = connection.commands.front();
     connection.sentAt = now;
     if (connection.work && connection.commands.size() == 1 && m_work.contains(*connection.work)) {
@@ -301,21 +302,17 @@
     const MemberCommand command = connection->commands.front();
     const TimePoint sentAt = connection->sentAt;
     connection->commands.pop_front();
+    connection->isAnswerOwed = false;
     if (answer.position) {
         member->applied = std::max(member->applied, *answer.position);
         if (member->record.id == m_primary) {
             samplePrimary(*answer.position, sentAt, now);
         }
     }
-    if (command.kind == CommandKind::Status) {
-        member->isStatusAsked = false;
-    }
-    if (status) {
-        statusAnswered(*member, *status, sentAt, now);
-        connection = connectionOf(number, &member);
-        if (connection == nullptr) {
-            return;
-        }
+    const bool isMaintenance = command.kind != CommandKind::Statement && command.kind != CommandKind::Reset;
+    if (isMaintenance) {
+        maintenanceAnswered(*member, *connection, command, status, now);
+        return;
     }
     if (connection->work && connection->commands.empty()) {
         const WorkNumber work = *connection->work;
@@ -324,13 +321,7 @@
         statementAnswered(*member, *connection, work, answer, now);
         return;
     }
-    const bool isMaintenance = command.kind != CommandKind::Statement && command.kind != CommandKind::Reset;
-    if (isMaintenance && !answer.isSuccess() && command.kind != CommandKind::Status) {
-        connection->idleSince = now;
-        askStatus(*member, now);
-        return;
-    }
-    if (!answer.isSuccess() && !isMaintenance) {
+    if (!answer.isSuccess()) {
         const auto work = connection->work;
         if (work && m_work.contains(*work)) {
             connection->work.reset();
@@ -351,6 +342,30 @@
     pump(*member, now);
 }
 
+/// The connection is free again before the answer is acted on, since that may give it new work.
+void GroupHome::maintenanceAnswered(Member &member,
+                                    MemberConnection &connection,
+                                    const MemberCommand &command,
+                                    const std::optional<ReplicationStatus> &status,
+                                    TimePoint now)
+{
+    const MemberId id = member.record.id;
+    const TimePoint sentAt = connection.sentAt;
+    connection.idleSince = now;
+    if (command.kind == CommandKind::Status) {
+        member.isStatusAsked = false;
+    }
+    if (status) {
+        statusAnswered(member, *status, sentAt, now);
+    } else if (command.kind != CommandKind::Status) {
+        askStatus(member, now);
+    }
+    const auto still = m_members.find(id);
+    if (still != m_members.end()) {
+        pump(still->second, now);
+    }
+}
+
 void GroupHome::statementAnswered(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now)
 {
     const auto found = m_work.find(number);
@@ -511,6 +526,12 @@
         memberSeenWhileFencing(member, status, now);
         return;
     }
+    if (m_change.stage == Change::AwaitingLead && id == m_change.candidate) {
+        if (status.isPrimary) {
+            primaryLeads(now);
+        }
+        return;
+    }
     if (id != m_primary) {
         if (!status.isPrimary && status.fencedAt == 0) {
             m_lease.replicaSeen(id, sentAt);
@@ -519,8 +540,6 @@
             m_lease.replicaLost(id);
             m_effects.readTerm();
         }
-    } else if (m_change.stage == Change::AwaitingLead && status.isPrimary) {
-        primaryLeads(now);
     } else if (m_change.stage == Change::None && !status.isPrimary) {
         suspectPrimary("says-replica", now);
     }
@@ -593,6 +612,13 @@
     return m_connectionOwners.size();
 }
 
+void GroupHome::paused(Duration pause)
+{
+    for (auto &[id, member] : m_members) {
+        member.heardAt += pause;
+    }
+}
+
 void GroupHome::tick(TimePoint now)
 {
     std::vector<MemberId> gone;
@@ -614,6 +640,9 @@
             memberSilent(member, now);
             member.nextConnectAt = now;
             openConnection(member, now);
+            if (id == m_primary && m_change.stage == Change::None) {
+                askPeersAhead(member, now);
+            }
         }
         if (member.health == Health::Up && (m_isFirst || !isQuiet()) && now - member.statusSentAt >= m_limits.statusInterval) {
             askStatus(member, now);
@@ -649,7 +678,9 @@
         if (isAwaiting) {
             continue;
         }
-        if (member != m_members.end() && work.connection && work.isSent) {
+        const bool isStarted = member != m_members.end() && work.connection && member->second.connections.find(*work.connection) != nullptr
+            && member->second.connections.find(*work.connection)->work == number;
+        if (isStarted) {
             dropConnection(member->second, *work.connection, false, StatementError::InDoubt, now);
         } else if (member != m_members.end()) {
             member->second.queue.cancel(number);
--- a/sessions/include/rattanbeam/sessions/internal/homeservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/homeservice.h
@@ -40,10 +40,9 @@
     void fleetChanged();
     void termSeen(const ServiceName &service, const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt);
     void tick();
-    void setLeaving()
-    {
-        m_isLeaving = true;
-    }
+    void paused(decisions::Duration pause);
+    /// A leaving or overloaded instance takes no new work as a home.
+    void setAway(bool isAway);
     bool isQuiet() const;
     std::size_t connections() const;
     std::size_t openTransactions() const;
@@ -76,7 +75,7 @@
     Directory &m_directory;
     PeerLinks &m_links;
     Ports &m_ports;
-    bool m_isLeaving = false;
+    bool m_isAway = false;
     std::map<ServiceName, std::unique_ptr<Group>> m_groups;
     std::map<RequestNumber, Reply> m_replies;
     RequestNumber m_lastRequest = 0;
--- a/sessions/include/rattanbeam/sessions/internal/peerlinks.h
+++ b/sessions/include/rattanbeam/sessions/internal/peerlinks.h
@@ -30,18 +30,22 @@
     bool isLeaving(const std::string &address) const;
     /// To be called every few milliseconds.
     void tick();
+    /// This process stood still for `pause`: silence in that time says nothing about peers.
+    void paused(decisions::Duration pause);
 
 private:
     struct Link {
         std::shared_ptr<FrameStream> stream;
         bool isEstablished = false;
         bool isLeaving = false;
+        /// The last try failed: nothing is sent before the peer has answered again.
+        bool isSuspect = false;
         std::deque<Frame> unsent;
         std::uint64_t pingNumber = 0;
         decisions::TimePoint pingSentAt = decisions::longAgo;
         bool isPingOwed = false;
         decisions::TimePoint lastUsed = decisions::longAgo;
-        decisions::TimePoint suspectUntil = decisions::longAgo;
+        decisions::TimePoint nextTryAt = decisions::longAgo;
         decisions::Duration backoff{};
         std::uint64_t generation = 0;
     };
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -17,7 +17,7 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds connectTimeout = 500ms;
+constexpr std::chrono::milliseconds connectTimeout = 400ms;
 constexpr std::chrono::milliseconds probeTimeout = 300ms;
 constexpr decisions::Duration inquiryTimeout = 400ms;
 constexpr std::size_t peersAsked = 3;
@@ -221,7 +221,7 @@
 bool HomeService::isFirstHome(const ServiceName &service) const
 {
     const auto order = homeOrder(service, m_directory.instances());
-    return !m_isLeaving && !order.empty() && order.front().id == m_settings.instance;
+    return !m_isAway && !order.empty() && order.front().id == m_settings.instance;
 }
 
 void HomeService::feedGroup(Group &group)
@@ -253,9 +253,9 @@
     const RequestNumber number = ++m_lastRequest;
     const std::uint64_t theirs = message.request();
     const bool isContinued = message.transaction() != 0 && !message.opens();
-    if (m_isLeaving && !isContinued) {
+    if (m_isAway && !isContinued) {
         HomeReply refusal;
-        refusal.answer = Answer::failure(StatementError::Busy, "home-leaving", SessionPhase::Idle);
+        refusal.answer = Answer::failure(StatementError::Busy, "home-away", SessionPhase::Idle);
         refusal.isElsewhere = true;
         reply(statementReply(theirs, refusal));
         return;
@@ -433,6 +433,21 @@
     }
 }
 
+void HomeService::paused(decisions::Duration pause)
+{
+    for (auto &[name, group] : m_groups) {
+        group->home().paused(pause);
+    }
+}
+
+void HomeService::setAway(bool isAway)
+{
+    m_isAway = isAway;
+    for (auto &[name, group] : m_groups) {
+        group->home().setFirst(isFirstHome(name));
+    }
+}
+
 void HomeService::tick()
 {
     const TimePoint now = EventLoop::now();
--- a/sessions/src/internal/peerlinks.cpp
+++ b/sessions/src/internal/peerlinks.cpp
@@ -20,6 +20,7 @@
 constexpr decisions::Duration pingInterval = 250ms;
 constexpr decisions::Duration pingTimeout = 500ms;
 constexpr decisions::Duration usedFor = 2s; // links without traffic for longer are not pinged
+constexpr decisions::Duration wantedFor = 30s; // a lost peer is tried again for this long after its last use
 constexpr decisions::Duration leastBackoff = 200ms;
 constexpr decisions::Duration mostBackoff = 1s;
 constexpr std::size_t mostUnsent = 1024;
@@ -34,10 +35,10 @@
     Link &link = m_links[address];
     const TimePoint now = EventLoop::now();
     link.lastUsed = now;
+    if (link.isSuspect) {
+        return false;
+    }
     if (!link.stream) {
-        if (now < link.suspectUntil) {
-            return false;
-        }
         open(address, link);
     }
     if (!link.isEstablished) {
@@ -60,7 +61,7 @@
 bool PeerLinks::isSuspect(const std::string &address) const
 {
     const auto found = m_links.find(address);
-    return found != m_links.end() && !found->second.stream && EventLoop::now() < found->second.suspectUntil;
+    return found != m_links.end() && found->second.isSuspect;
 }
 
 bool PeerLinks::isLeaving(const std::string &address) const
@@ -103,6 +104,7 @@
     link.isPingOwed = false;
     if (!link.isEstablished) {
         link.isEstablished = true;
+        link.isSuspect = false;
         link.backoff = {};
         LogEvent("peer-reached").with("peer", address);
         for (const Frame &waiting : std::exchange(link.unsent, {})) {
@@ -128,18 +130,29 @@
     link.isEstablished = false;
     link.backoff = wasEstablished ? decisions::Duration(leastBackoff / 4)
                                   : std::clamp<decisions::Duration>(link.backoff * 2, leastBackoff, mostBackoff);
-    link.suspectUntil = EventLoop::now() + link.backoff;
+    link.isSuspect = true;
+    link.nextTryAt = EventLoop::now() + link.backoff;
     LogEvent("peer-lost", LogLevel::Warning).with("peer", address).with("cause", cause).with("unsent", link.unsent.size());
     const std::deque<Frame> unsent = std::exchange(link.unsent, {});
     m_lost(address, unsent);
 }
 
+void PeerLinks::paused(decisions::Duration pause)
+{
+    for (auto &[address, link] : m_links) {
+        link.pingSentAt += pause;
+    }
+}
+
 void PeerLinks::tick()
 {
     const TimePoint now = EventLoop::now();
     std::vector<std::pair<std::string, std::uint64_t>> silent;
     for (auto &[address, link] : m_links) {
         if (!link.stream) {
+            if (link.isSuspect && now >= link.nextTryAt && now - link.lastUsed < wantedFor) {
+                open(address, link);
+            }
             continue;
         }
         if (link.isPingOwed && now - link.pingSentAt > pingTimeout) {
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -1,5 +1,6 @@
 #include "rattanbeam/sessions/sessioninstance.h"
 
+#include "rattanbeam/decisions/session/lagmeter.h"
 #include "rattanbeam/kernel/logevent.h"
 #include "rattanbeam/kernel/metrics.h"
 #include "rattanbeam/sessions/internal/directory.h"
@@ -63,6 +64,9 @@
     void drain(std::function<void()> stopped);
     void registerSelf();
     void scheduleTick();
+    void measureLag();
+    bool isAway() const;
+    void announceAway();
     void askForSnapshot();
     internal::FrameEvents acceptPeer(const std::shared_ptr<internal::FrameStream> &stream);
     void peerAsked(const std::string &name, const std::shared_ptr<internal::FrameStream> &stream, const link::v1::Frame &frame);
@@ -81,6 +85,7 @@
     std::unique_ptr<internal::InstanceServer> server;
     std::set<std::shared_ptr<internal::FrameStream>> peerStreams;
     std::uint64_t lastPeer = 0;
+    decisions::session::LagMeter lagMeter{tickInterval};
     std::uint64_t ownRevision = 0;
     bool isRegistering = false;
     bool isLeaving = false;
@@ -171,12 +176,45 @@
 void SessionInstance::Parts::scheduleTick()
 {
     loop.every(tickInterval, [this] {
+        measureLag();
         links.tick();
         homes.tick();
         entry.tick();
     });
 }
 
+void SessionInstance::Parts::measureLag()
+{
+    const bool wasOverloaded = lagMeter.isOverloaded();
+    const decisions::Duration pause = lagMeter.ticked(EventLoop::now());
+    if (pause > decisions::Duration::zero()) {
+        LogEvent("paused", LogLevel::Warning).with("ms", std::chrono::duration_cast<std::chrono::milliseconds>(pause).count());
+        links.paused(pause);
+        homes.paused(pause);
+    }
+    if (lagMeter.isOverloaded() != wasOverloaded) {
+        LogEvent(wasOverloaded ? "overload-ended" : "overloaded", wasOverloaded ? LogLevel::Info : LogLevel::Warning)
+            .with("lag_us", std::chrono::duration_cast<std::chrono::microseconds>(lagMeter.averageLag()).count());
+        announceAway();
+    }
+}
+
+bool SessionInstance::Parts::isAway() const
+{
+    return isLeaving || lagMeter.isOverloaded();
+}
+
+/// Peers take new work elsewhere, or may bring it again.
+void SessionInstance::Parts::announceAway()
+{
+    homes.setAway(isAway());
+    for (const auto &stream : peerStreams) {
+        link::v1::Frame frame;
+        frame.mutable_pong()->set_leaving(isAway());
+        stream->write(frame);
+    }
+}
+
 void SessionInstance::Parts::registerSelf()
 {
     if (std::exchange(isRegistering, true)) {
@@ -245,7 +283,7 @@
     switch (frame.body_case()) {
     case link::v1::Frame::kPing:
         answer.mutable_pong()->set_number(frame.ping().number());
-        answer.mutable_pong()->set_leaving(isLeaving);
+        answer.mutable_pong()->set_leaving(isAway());
         stream->write(answer);
         break;
     case link::v1::Frame::kStatement:
@@ -310,12 +348,7 @@
     }
     drainStartedAt = EventLoop::now();
     LogEvent("drain-started").with("sessions", entry.sessions()).with("open_transactions", homes.openTransactions());
-    homes.setLeaving();
-    for (const auto &stream : peerStreams) {
-        link::v1::Frame frame;
-        frame.mutable_pong()->set_leaving(true);
-        stream->write(frame);
-    }
+    announceAway();
     registerSelf();
     pollDrain(stopped);
 }
