Events of a watch are no evidence of the present

Ruled out: replica evidence (both replicas were cut off), late store reads (their start counts). Change: only lists, single reads and own conditional writes are evidence; released answers are logged.

--- a/decisions/src/session/grouphomefailover.cpp
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -109,6 +109,14 @@
             continue;
         }
         if (awaiting.generation == m_lease.generation() && m_lease.covers(awaiting.answeredAt, now)) {
+            m_effects.report({"answer-released",
+                              false,
+                              {{"service", m_service.text()},
+                               {"request", m_work.at(awaiting.work).request.forwarded.statement.id},
+                               {"generation", std::to_string(awaiting.generation)},
+                               {"listed", m_lease.isListed() ? "true" : "false"},
+                               {"evidence_age_ms", std::to_string(millisecondsUntil(now, m_lease.evidence()))},
+                               {"waited_ms", std::to_string(millisecondsUntil(now, awaiting.answeredAt))}}});
             finish(awaiting.work, awaiting.reply, now);
         } else {
             kept.push_back(std::move(awaiting));
--- a/sessions/include/rattanbeam/sessions/internal/directory.h
+++ b/sessions/include/rattanbeam/sessions/internal/directory.h
@@ -77,7 +77,7 @@
     void list(Followed &followed);
     void watch(Followed &followed);
     void listed(Followed &followed, const std::vector<Record> &records, std::uint64_t revision, TimePoint startedAt);
-    void changed(Followed &followed, const std::vector<Record> &records, TimePoint startedAt);
+    void changed(Followed &followed, const std::vector<Record> &records);
     bool apply(Followed &followed, const Record &record, TimePoint startedAt);
     void retry(Followed &followed, StoreOutcome outcome, bool isWatch);
     void storeAnswered(StoreOutcome outcome);
--- a/sessions/src/internal/directory.cpp
+++ b/sessions/src/internal/directory.cpp
@@ -96,11 +96,10 @@
 
 void Directory::watch(Followed &followed)
 {
-    const TimePoint startedAt = EventLoop::now();
     m_store.watch(followed.collection,
                   followed.revision,
                   watchWait,
-                  [this, &followed, startedAt](StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision) {
+                  [this, &followed](StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision) {
                       storeAnswered(outcome == StoreOutcome::HistoryLost ? StoreOutcome::Done : outcome);
                       if (outcome != StoreOutcome::Done) {
                           retry(followed, outcome, true);
@@ -108,7 +107,7 @@
                       }
                       followed.backoff = {};
                       followed.revision = std::max(followed.revision, revision);
-                      changed(followed, records, startedAt);
+                      changed(followed, records);
                       watch(followed);
                   });
 }
@@ -164,11 +163,12 @@
     }
 }
 
-void Directory::changed(Followed &followed, const std::vector<Record> &records, TimePoint startedAt)
+/// Events are history: they show what was, so they are no evidence of the present.
+void Directory::changed(Followed &followed, const std::vector<Record> &records)
 {
     bool isChanged = false;
     for (const Record &record : records) {
-        isChanged = apply(followed, record, startedAt) || isChanged;
+        isChanged = apply(followed, record, decisions::longAgo) || isChanged;
     }
     if (isChanged && m_listener) {
         m_listener();
