A client that left while its request moved no longer ends the instance; bounded watches; tests of homes

Change: forward() checks the session; watches of configuration and members wait 4 s, all restart when the store is regained.

--- /dev/null
+++ b/decisions/test/session/evidence_test.cpp
@@ -0,0 +1,121 @@
+// The watermark of a primary's commits, the lease on its term, and the measure of this process's own lag.
+
+#include "rattanbeam/decisions/session/lagmeter.h"
+#include "rattanbeam/decisions/session/primarylease.h"
+#include "rattanbeam/decisions/session/watermark.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <vector>
+
+namespace rattanbeam::decisions::session
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+constexpr TimePoint start{100s};
+} // namespace
+
+TEST_CASE("The watermark covers every commit acknowledged before the time asked for", "[watermark]")
+{
+    rc::prop("over any pace of commits", [](const std::vector<std::uint8_t> &steps) {
+        Watermark watermark;
+        TimePoint now = start;
+        std::uint64_t number = 0;
+        std::vector<std::pair<TimePoint, std::uint64_t>> acknowledged;
+        for (const std::uint8_t step : steps) {
+            now += std::chrono::milliseconds(1 + step % 50);
+            const TimePoint sentAt = now;
+            number += step % 3;
+            acknowledged.emplace_back(now, number);
+            now += 1ms;
+            watermark.sample({1, number}, sentAt);
+        }
+        for (const auto &[at, position] : acknowledged) {
+            if (const auto covering = watermark.covering(at + 1ns)) {
+                RC_ASSERT(covering->position >= position);
+            }
+        }
+    });
+}
+
+TEST_CASE("A new term replaces all samples of the one before", "[watermark]")
+{
+    Watermark watermark;
+    watermark.sample({1, 50}, start);
+    watermark.sample({2, 40}, start + 10ms);
+    CHECK(watermark.covering(start) == LogPosition{2, 40});
+    watermark.sample({1, 60}, start + 20ms); // an old primary that answers late
+    CHECK(watermark.latest() == LogPosition{2, 40});
+}
+
+TEST_CASE("There is no covering position when the samples are too old", "[watermark]")
+{
+    Watermark watermark;
+    CHECK_FALSE(watermark.covering(start));
+    watermark.sample({1, 1}, start);
+    CHECK(watermark.covering(start));
+    CHECK_FALSE(watermark.covering(start + 1ms));
+}
+
+TEST_CASE("A listed home's lease lasts its length from the oldest replica's sight", "[primarylease]")
+{
+    PrimaryLease lease(1s);
+    lease.restart(3, true, {MemberId("r1"), MemberId("r2")});
+    lease.replicaSeen(MemberId("r1"), start);
+    CHECK_FALSE(lease.covers(start, start));
+    lease.replicaSeen(MemberId("r2"), start + 100ms);
+    CHECK(lease.covers(start + 900ms, start + 999ms));
+    CHECK_FALSE(lease.covers(start + 900ms, start + 1s));
+}
+
+TEST_CASE("An unlisted home needs evidence from after the answer", "[primarylease]")
+{
+    PrimaryLease lease(1s);
+    lease.restart(3, false, {MemberId("r1")});
+    lease.replicaSeen(MemberId("r1"), start);
+    CHECK_FALSE(lease.covers(start + 1ms, start + 2ms));
+    lease.replicaSeen(MemberId("r1"), start + 1ms);
+    CHECK(lease.covers(start + 1ms, start + 2ms));
+}
+
+TEST_CASE("Evidence of another generation, or a fenced replica, ends the lease", "[primarylease]")
+{
+    PrimaryLease lease(1s);
+    lease.restart(3, true, {MemberId("r1")});
+    lease.storeRead(2, true, start);
+    CHECK_FALSE(lease.covers(start, start));
+    lease.storeRead(3, true, start);
+    CHECK(lease.covers(start, start));
+    lease.replicaLost(MemberId("r1"));
+    CHECK_FALSE(lease.covers(start, start));
+}
+
+TEST_CASE("A pause is told apart from load", "[lagmeter]")
+{
+    LagMeter meter(10ms);
+    TimePoint now = start;
+    meter.ticked(now);
+    for (int i = 0; i < 50; ++i) {
+        now += 10ms;
+        CHECK(meter.ticked(now) == Duration::zero());
+    }
+    now += 3s;
+    CHECK(meter.ticked(now) >= 2900ms);
+    CHECK_FALSE(meter.isOverloaded());
+    for (int i = 0; i < 50; ++i) {
+        now += 60ms;
+        meter.ticked(now);
+    }
+    CHECK(meter.isOverloaded());
+    for (int i = 0; i < 400; ++i) {
+        now += 10ms;
+        meter.ticked(now);
+    }
+    CHECK_FALSE(meter.isOverloaded());
+}
+
+} // namespace rattanbeam::decisions::session
--- /dev/null
+++ b/decisions/test/session/grouphome_test.cpp
@@ -0,0 +1,117 @@
+#include "fakegroup.h"
+
+#include <catch2/catch.hpp>
+
+namespace rattanbeam::decisions::session::test
+{
+
+TEST_CASE("A write at a healthy primary is answered with the member's proof", "[grouphome]")
+{
+    FakeGroup group;
+    group.settle();
+    const HomeRequest request = group.write("w1");
+    group.home.request(request, group.now);
+    group.answerAll();
+    const HomeReply *reply = group.replyTo(request.number);
+    REQUIRE(reply != nullptr);
+    CHECK(reply->answer.isSuccess());
+    CHECK(reply->answer.signature == "signed-by-m1");
+    CHECK(group.timesSent("w1") == 1);
+}
+
+TEST_CASE("A connection carries one command at a time, also when a status answer frees held work", "[grouphome]")
+{
+    FakeGroup group;
+    group.settle();
+    // Held work is released by the answer to a status request, onto the connection that carried it.
+    group.home.termSeen(TermRecord{ServiceName("orders"), 2, MemberId("m1"), {"a1/1"}}, ++group.revision, group.now, group.now);
+    for (int i = 0; i < 40; ++i) {
+        group.home.request(group.write("w" + std::to_string(i)), group.now);
+        group.pass(20ms);
+        if (i % 3 == 0) {
+            group.answerAll();
+        }
+    }
+    group.answerAll();
+    CHECK(group.mostOwed == 1);
+    for (int i = 0; i < 40; ++i) {
+        CHECK(group.timesSent("w" + std::to_string(i)) <= 1);
+    }
+}
+
+TEST_CASE("Work that is refused while its connection is being prepared is never sent", "[grouphome]")
+{
+    FakeGroup group;
+    group.settle();
+    HomeRequest request = group.write("w1");
+    request.values = std::make_shared<const SessionValues>(SessionValues{{"zone", "utc"}});
+    group.home.request(request, group.now);
+    REQUIRE(group.timesSent("w1") == 0); // the value is being set
+    // The member stays audible on other connections, so that it does not count as silent.
+    for (int i = 0; i < 90; ++i) {
+        group.pass(10ms);
+        const auto status = std::find_if(group.sent.begin(), group.sent.end(), [](const FakeGroup::Sent &each) {
+            return each.command.kind == CommandKind::Status;
+        });
+        if (status != group.sent.end()) {
+            std::rotate(group.sent.begin(), status, status + 1);
+            group.answerNext();
+        }
+    }
+    const HomeReply *reply = group.replyTo(request.number);
+    REQUIRE(reply != nullptr);
+    CHECK(isNotRun(reply->answer.error));
+    group.answerAll();
+    CHECK(group.timesSent("w1") == 0);
+}
+
+TEST_CASE("A write whose connection ends after it was sent is in doubt", "[grouphome]")
+{
+    FakeGroup group;
+    group.settle();
+    const HomeRequest request = group.write("w1");
+    group.home.request(request, group.now);
+    REQUIRE(group.timesSent("w1") == 1);
+    group.home.connectionFailed(group.sent.back().connection, ConnectFailure::Lost, group.now);
+    REQUIRE(group.replyTo(request.number) != nullptr);
+    CHECK(group.replyTo(request.number)->answer.error == StatementError::InDoubt);
+}
+
+TEST_CASE("A read whose connection ends is tried again", "[grouphome]")
+{
+    FakeGroup group;
+    group.settle();
+    const HomeRequest request = group.read("r1", Consistency::BoundedAge);
+    group.home.request(request, group.now);
+    REQUIRE(group.timesSent("r1") == 1);
+    group.home.connectionFailed(group.sent.back().connection, ConnectFailure::Lost, group.now);
+    group.answerAll();
+    REQUIRE(group.replyTo(request.number) != nullptr);
+    CHECK(group.replyTo(request.number)->answer.isSuccess());
+    CHECK(group.timesSent("r1") == 2);
+}
+
+TEST_CASE("A statement of another transaction never runs on a pinned connection", "[grouphome]")
+{
+    FakeGroup group;
+    group.settle();
+    HomeRequest opening = group.write("t1");
+    opening.transaction = {"peer-1", 5, 1};
+    opening.forwarded.transaction = 1;
+    opening.forwarded.opensTransaction = true;
+    group.home.request(opening, group.now);
+    group.answerAll();
+    REQUIRE(group.replyTo(opening.number)->isOpen);
+    const ConnectionNumber pinned = group.history.back().connection;
+    for (int i = 0; i < 20; ++i) {
+        group.home.request(group.write("w" + std::to_string(i)), group.now);
+        group.answerAll();
+    }
+    for (const FakeGroup::Sent &each : group.history) {
+        if (!each.command.statement.id.empty() && each.command.statement.id != "t1") {
+            CHECK(each.connection != pinned);
+        }
+    }
+}
+
+} // namespace rattanbeam::decisions::session::test
--- a/sessions/include/rattanbeam/sessions/internal/directory.h
+++ b/sessions/include/rattanbeam/sessions/internal/directory.h
@@ -72,10 +72,14 @@
         std::uint64_t revision = 0;
         bool isKnown = false;
         decisions::Duration backoff{};
+        /// Counts watches; only the latest one's answer is used.
+        std::uint64_t attempt = 0;
+        bool isWatching = false;
     };
 
     void list(Followed &followed);
     void watch(Followed &followed);
+    void restartWatches();
     void listed(Followed &followed, const std::vector<Record> &records, std::uint64_t revision, TimePoint startedAt);
     void changed(Followed &followed, const std::vector<Record> &records);
     bool apply(Followed &followed, const Record &record, TimePoint startedAt);
@@ -86,10 +90,10 @@
     EventLoop &m_loop;
     RecordStore &m_store;
     std::optional<FleetConfiguration> m_configuration;
-    Followed m_configurations{Collection::Configuration, {}, 0, false, {}};
-    Followed m_members{Collection::Members, {}, 0, false, {}};
-    Followed m_instances{Collection::Instances, {}, 0, false, {}};
-    Followed m_terms{Collection::Terms, {}, 0, false, {}};
+    Followed m_configurations{Collection::Configuration, {}, 0, false, {}, 0, false};
+    Followed m_members{Collection::Members, {}, 0, false, {}, 0, false};
+    Followed m_instances{Collection::Instances, {}, 0, false, {}, 0, false};
+    Followed m_terms{Collection::Terms, {}, 0, false, {}, 0, false};
     bool m_isStoreReachable = true;
     std::function<void()> m_listener;
     TermListener m_termListener;
--- a/sessions/src/internal/directory.cpp
+++ b/sessions/src/internal/directory.cpp
@@ -16,10 +16,18 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds watchWait = 20s;
+// A watch that went silent shows only when its time is up, so what has a bound is asked for more often.
+constexpr std::chrono::milliseconds boundedWatchWait = 4s;
+constexpr std::chrono::milliseconds plainWatchWait = 15s;
 constexpr decisions::Duration leastBackoff = 100ms;
 constexpr decisions::Duration mostBackoff = 800ms;
 
+std::chrono::milliseconds watchWait(Collection collection)
+{
+    const bool isBounded = collection == Collection::Configuration || collection == Collection::Members;
+    return isBounded ? boundedWatchWait : plainWatchWait;
+}
+
 const char *collectionName(Collection collection)
 {
     switch (collection) {
@@ -94,12 +102,28 @@
                  });
 }
 
+/// Watches that began before the store went away may never end.
+void Directory::restartWatches()
+{
+    for (Followed *followed : {&m_configurations, &m_members, &m_instances, &m_terms}) {
+        if (followed->isKnown && followed->isWatching) {
+            watch(*followed);
+        }
+    }
+}
+
 void Directory::watch(Followed &followed)
 {
+    followed.isWatching = true;
+    const std::uint64_t attempt = ++followed.attempt;
     m_store.watch(followed.collection,
                   followed.revision,
-                  watchWait,
-                  [this, &followed](StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision) {
+                  watchWait(followed.collection),
+                  [this, &followed, attempt](StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision) {
+                      if (attempt != followed.attempt) {
+                          return; // another watch took its place
+                      }
+                      followed.isWatching = false;
                       storeAnswered(outcome == StoreOutcome::HistoryLost ? StoreOutcome::Done : outcome);
                       if (outcome != StoreOutcome::Done) {
                           retry(followed, outcome, true);
@@ -132,6 +156,9 @@
 void Directory::storeAnswered(StoreOutcome outcome)
 {
     const bool isReachable = outcome != StoreOutcome::Unavailable && outcome != StoreOutcome::Unknown;
+    if (isReachable && !m_isStoreReachable) {
+        restartWatches();
+    }
     if (isReachable != m_isStoreReachable) {
         m_isStoreReachable = isReachable;
         LogEvent(isReachable ? "store-regained" : "store-lost", isReachable ? LogLevel::Info : LogLevel::Warning);
--- a/sessions/src/internal/entryservice.cpp
+++ b/sessions/src/internal/entryservice.cpp
@@ -171,6 +171,10 @@
 void EntryService::forward(std::uint64_t request)
 {
     Pending &pending = m_pending.at(request);
+    if (!m_sessions.contains(pending.session)) {
+        m_pending.erase(request); // its client has left, and nothing ran
+        return;
+    }
     const TimePoint now = EventLoop::now();
     const bool isContinued = pending.forwarded.transaction != 0 && !pending.forwarded.opensTransaction;
     if (isContinued) {
