--- a/decisions/src/session/grouphomemembers.cpp
+++ b/decisions/src/session/grouphomemembers.cpp
@@ -14,6 +14,7 @@
 constexpr Duration leastBackoff = 100ms;
 constexpr Duration mostBackoff = 1000ms;
 constexpr std::size_t warmConnections = 3;
+constexpr std::size_t statementsAhead = 1; // hides the way to the member from its slots
 constexpr std::size_t substituteConnections = 3;
 
 std::string positionText(const LogPosition &position)
@@ -24,7 +25,7 @@
 QueueLimits queueLimits(const MemberRecord &record)
 {
     QueueLimits limits;
-    limits.slots = std::max(1U, record.slots);
+    limits.slots = std::max(1U, record.slots) + statementsAhead;
     limits.weights[Rank::Urgent] = 30;
     limits.weights[Rank::Interactive] = 20;
     limits.weights[Rank::Batch] = 5;
