--- a/decisions/include/rattanbeam/decisions/session/fleetrecords.h
+++ b/decisions/include/rattanbeam/decisions/session/fleetrecords.h
@@ -31,7 +31,7 @@
     std::uint32_t timeoutMs = 1000;
     /// The aim for a whole operation.
     std::uint32_t objectiveMs = 1000;
-    std::uint32_t maxStalenessMs = 0;
+    std::uint32_t stalenessLimitMs = 0;
 
     auto operator<=>(const Route &) const = default;
 };
--- a/sessions/include/rattanbeam/sessions/sessioninstance.h
+++ b/sessions/include/rattanbeam/sessions/sessioninstance.h
@@ -28,10 +28,9 @@
     bool start();
     FrontHandler &front();
     bool isReady() const;
-    /// Finishes what is under way, then calls `stopped`.
-    void drain(std::function<void()> stopped);
-    /// Whether new client connections are still taken.
-    bool isAccepting() const;
+    /// Finishes what is under way. `closeFront` is to stop new client connections once the balancer sends none; `stopped`
+    /// comes last.
+    void drain(std::function<void()> closeFront, std::function<void()> stopped);
     /// All counters and latencies, in the Prometheus text format.
     std::string metricsText() const;
 
--- a/sessions/src/internal/directory.cpp
+++ b/sessions/src/internal/directory.cpp
@@ -276,7 +276,7 @@
         each->set_rank(static_cast<std::uint32_t>(route.rank));
         each->set_timeout_ms(route.timeoutMs);
         each->set_objective_ms(route.objectiveMs);
-        each->set_max_staleness_ms(route.maxStalenessMs);
+        each->set_max_staleness_ms(route.stalenessLimitMs);
     }
     for (const ServiceLimits &limits : m_configuration->services) {
         auto *each = configuration->add_services();
@@ -336,7 +336,7 @@
         route.rank = static_cast<decisions::Rank>(std::min(each.rank(), 2U));
         route.timeoutMs = each.timeout_ms();
         route.objectiveMs = each.objective_ms();
-        route.maxStalenessMs = each.max_staleness_ms();
+        route.stalenessLimitMs = each.max_staleness_ms();
         configuration.routes.push_back(route);
     }
     for (const auto &each : snapshot.configuration().services()) {
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -61,7 +61,7 @@
     {}
 
     bool start();
-    void drain(std::function<void()> stopped);
+    void drain(std::function<void()> closeFront, std::function<void()> stopped);
     void registerSelf();
     void scheduleTick();
     void measureLag();
@@ -114,14 +114,9 @@
     return m_parts->directory.isReady() && !m_parts->isLeaving;
 }
 
-bool SessionInstance::isAccepting() const
+void SessionInstance::drain(std::function<void()> closeFront, std::function<void()> stopped)
 {
-    return !m_parts->isLeaving || EventLoop::now() - m_parts->drainStartedAt < rotationDelay;
-}
-
-void SessionInstance::drain(std::function<void()> stopped)
-{
-    m_parts->drain(std::move(stopped));
+    m_parts->drain(std::move(closeFront), std::move(stopped));
 }
 
 std::string SessionInstance::metricsText() const
@@ -341,7 +336,7 @@
     }
 }
 
-void SessionInstance::Parts::drain(std::function<void()> stopped)
+void SessionInstance::Parts::drain(std::function<void()> closeFront, std::function<void()> stopped)
 {
     if (std::exchange(isLeaving, true)) {
         return;
@@ -350,13 +345,14 @@
     LogEvent("drain-started").with("sessions", entry.sessions()).with("open_transactions", homes.openTransactions());
     announceAway();
     registerSelf();
+    loop.after(rotationDelay, std::move(closeFront));
     pollDrain(stopped);
 }
 
 void SessionInstance::Parts::pollDrain(const std::function<void()> &stopped)
 {
     const TimePoint now = EventLoop::now();
-    const bool isOutOfRotation = now - drainStartedAt >= rotationDelay;
+    const bool isOutOfRotation = now - drainStartedAt >= rotationDelay + drainPoll; // the front is closed by then
     if (isOutOfRotation) {
         entry.closeResting();
     }
