--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -135,6 +135,8 @@
         bool isOffered = false;
         std::string preparedName;
         std::optional<LogPosition> after;
+        /// A member that owed the answer for too long.
+        MemberId avoided;
         /// Generation whose primary it was given to; 0 for work at a replica.
         std::uint64_t generation = 0;
     };
@@ -225,6 +227,9 @@
     void removeMember(const MemberId &id, TimePoint now);
     void rollBack(Member &member, ConnectionNumber number, TimePoint now);
     void endOverdue(TimePoint now);
+    void moveStalledReads(TimePoint now);
+    void refuseHeld(TimePoint now);
+    void endIdleTransactions(TimePoint now);
 
     // The lease and the change of primary: grouphomefailover.cpp
     bool isPrimaryUsable() const;
--- a/decisions/src/session/grouphome.cpp
+++ b/decisions/src/session/grouphome.cpp
@@ -13,6 +13,7 @@
 
 constexpr Duration retryPause = 15ms; // before a member that was busy is asked again
 constexpr Duration coverMargin = 20ms;
+constexpr double avoidedPenalty = 1000; // taken only when there is no other
 constexpr double primaryPenalty = 0.75; // reads leave the primary's slots to what only it can do
 
 } // namespace
@@ -136,7 +137,7 @@
         for (const Rank rank : allRanks) {
             waiting += static_cast<double>(member.queue.waiting(rank));
         }
-        const double cost = waiting / std::max(1U, member.record.slots) + (isPrimary ? primaryPenalty : 0);
+        const double cost = waiting / std::max(1U, member.record.slots) + (isPrimary ? primaryPenalty : 0) + (id == work.avoided ? avoidedPenalty : 0);
         if (best == nullptr || cost < bestCost) {
             best = &member;
             bestCost = cost;
--- a/decisions/src/session/grouphomemembers.cpp
+++ b/decisions/src/session/grouphomemembers.cpp
@@ -14,6 +14,8 @@
 constexpr Duration leastBackoff = 100ms;
 constexpr Duration mostBackoff = 1000ms;
 constexpr std::size_t warmConnections = 3;
+constexpr int heldShare = 5; // of the objective that work may wait for a primary
+constexpr int stallPercent = 60; // of the objective, until a read counts as stalled
 constexpr std::size_t statementsAhead = 1; // hides the way to the member from its slots
 constexpr std::size_t substituteConnections = 3;
 
@@ -655,6 +657,9 @@
         removeMember(id, now);
     }
     endOverdue(now);
+    moveStalledReads(now);
+    refuseHeld(now);
+    endIdleTransactions(now);
     advanceChange(now);
 }
 
@@ -690,6 +695,43 @@
             refuse(number, work.request.transaction.isNone() ? StatementError::Busy : StatementError::Aborted, "deadline", now);
         }
     }
+}
+
+/// A read has no effect, so one whose answer does not come is asked again elsewhere while its time lasts.
+void GroupHome::moveStalledReads(TimePoint now)
+{
+    std::vector<WorkNumber> stalled;
+    for (const auto &[number, work] : m_work) {
+        const HomeRequest &request = work.request;
+        const bool mayRepeat = work.isSent && work.connection && request.forwarded.isReadOnly && request.transaction.isNone()
+            && work.avoided.isEmpty();
+        const auto member = mayRepeat ? m_members.find(work.member) : m_members.end();
+        if (member == m_members.end()) {
+            continue;
+        }
+        const MemberConnection *connection = member->second.connections.find(*work.connection);
+        const Duration patience = (request.objectiveAt - request.arrivedAt) * stallPercent / 100;
+        if (connection != nullptr && connection->work == number && now - connection->sentAt > patience) {
+            stalled.push_back(number);
+        }
+    }
+    for (const WorkNumber number : stalled) {
+        const auto found = m_work.find(number);
+        if (found == m_work.end()) {
+            continue;
+        }
+        found->second.avoided = found->second.member;
+        m_effects.report({"read-stalled",
+                          false,
+                          {{"request", found->second.request.forwarded.statement.id},
+                           {"service", m_service.text()},
+                           {"member", found->second.member.text()}}});
+        dropConnection(m_members.at(found->second.member), *found->second.connection, false, StatementError::Busy, now);
+    }
+}
+
+void GroupHome::refuseHeld(TimePoint now)
+{
     std::deque<WorkNumber> kept;
     for (const WorkNumber number : std::exchange(m_held, {})) {
         const auto found = m_work.find(number);
@@ -697,7 +739,7 @@
             continue;
         }
         const HomeRequest &request = found->second.request;
-        const Duration patience = (request.objectiveAt - request.arrivedAt) / 4;
+        const Duration patience = (request.objectiveAt - request.arrivedAt) / heldShare;
         if (now >= request.arrivedAt + patience) {
             refuse(number, StatementError::Busy, "no-primary", now);
         } else {
@@ -705,6 +747,10 @@
         }
     }
     m_held.insert(m_held.end(), kept.begin(), kept.end());
+}
+
+void GroupHome::endIdleTransactions(TimePoint now)
+{
     std::vector<TransactionKey> idle;
     for (const auto &[key, transaction] : m_transactions) {
         if (!transaction.isBusy && now - transaction.lastUsed > m_limits.transactionIdle) {
--- a/decisions/test/session/grouphome_test.cpp
+++ b/decisions/test/session/grouphome_test.cpp
@@ -91,6 +91,39 @@
     CHECK(group.timesSent("r1") == 2);
 }
 
+TEST_CASE("A read whose answer does not come is asked again at another member", "[grouphome]")
+{
+    FakeGroup group;
+    group.settle();
+    const HomeRequest request = group.read("r1", Consistency::BoundedAge);
+    group.home.request(request, group.now);
+    REQUIRE(group.timesSent("r1") == 1);
+    const MemberId first = group.owners.at(group.sent.back().connection);
+    group.sent.clear(); // the answer is lost
+    group.pass(80ms);
+    REQUIRE(group.timesSent("r1") == 2);
+    CHECK(group.owners.at(group.sent.back().connection) != first);
+    group.answerAll();
+    CHECK(group.replyTo(request.number)->answer.isSuccess());
+}
+
+TEST_CASE("A write whose answer does not come is never sent again", "[grouphome]")
+{
+    FakeGroup group;
+    group.settle();
+    const HomeRequest request = group.write("w1");
+    group.home.request(request, group.now);
+    REQUIRE(group.timesSent("w1") == 1);
+    group.sent.clear();
+    for (int i = 0; i < 100; ++i) {
+        group.pass(10ms);
+        group.answerAll();
+    }
+    CHECK(group.timesSent("w1") == 1);
+    REQUIRE(group.replyTo(request.number) != nullptr);
+    CHECK(group.replyTo(request.number)->answer.error == StatementError::InDoubt);
+}
+
 TEST_CASE("A statement of another transaction never runs on a pinned connection", "[grouphome]")
 {
     FakeGroup group;
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -320,10 +320,14 @@
 void HomeService::askPeers(const ServiceName &service, const MemberId &member)
 {
     const std::uint64_t number = ++m_lastInquiry;
+    // Neighbours are cut off together, so only another domain's word tells a dead member from a cut.
     std::vector<InstanceRecord> peers = m_directory.instances();
-    std::stable_partition(peers.begin(), peers.end(), [&](const InstanceRecord &peer) {
+    const auto foreign = std::stable_partition(peers.begin(), peers.end(), [&](const InstanceRecord &peer) {
         return peer.domain != m_settings.domain;
     });
+    if (foreign != peers.begin()) {
+        peers.erase(foreign, peers.end());
+    }
     Inquiry inquiry;
     inquiry.service = service;
     inquiry.member = member;
