Homes keep short watches; the others watch long and learn from homes' pongs that they are behind

Ruled out: relays in each domain (both relays of a domain can be refused by the store at once; followers would then know nothing). Change: configuration watches of homes last the stated bound less 300 ms, of others 15 s; every instance keeps links to the first homes, whose pongs carry configuration version and a digest of the members; who is behind begins its watch anew.

--- a/sessions/include/rattanbeam/sessions/internal/directory.h
+++ b/sessions/include/rattanbeam/sessions/internal/directory.h
@@ -22,7 +22,8 @@
 public:
     using TermListener = std::function<void(const ServiceName &, const std::optional<TermRecord> &, std::uint64_t revision, TimePoint startedAt)>;
 
-    Directory(EventLoop &loop, RecordStore &store);
+    /// `configurationBound`: how soon an accepted configuration has to be in force.
+    Directory(EventLoop &loop, RecordStore &store, std::chrono::milliseconds configurationBound);
 
     void start();
     /// Called after each change of configuration, members or instances.
@@ -37,6 +38,12 @@
     /// Takes in what a peer knows, while the store cannot be reached.
     void merge(const link::v1::Snapshot &snapshot);
     link::v1::Snapshot snapshot() const;
+    /// A peer knows another configuration or other members: looks into the store if this instance may be behind.
+    void peerKnows(std::uint64_t configurationVersion, std::uint64_t membersDigest);
+    /// Short watches find a silent connection sooner; homes keep them, and the others learn from homes.
+    void setWatchesShort(bool isShort);
+    /// Equal for equal members.
+    std::uint64_t membersDigest() const;
     /// Reads the term record of one service now.
     void readTerm(const ServiceName &service);
 
@@ -85,6 +92,7 @@
     bool apply(Followed &followed, const Record &record, TimePoint startedAt);
     void retry(Followed &followed, StoreOutcome outcome, bool isWatch);
     void storeAnswered(StoreOutcome outcome);
+    std::chrono::milliseconds watchWait(Collection collection) const;
     void adoptConfiguration(const FleetConfiguration &configuration, const char *source);
 
     EventLoop &m_loop;
@@ -95,6 +103,10 @@
     Followed m_instances{Collection::Instances, {}, 0, false, {}, 0, false};
     Followed m_terms{Collection::Terms, {}, 0, false, {}, 0, false};
     bool m_isStoreReachable = true;
+    std::chrono::milliseconds m_configurationBound;
+    bool m_areWatchesShort = true;
+    std::uint64_t m_peerDigest = 0;
+    TimePoint m_peerLookAt = decisions::longAgo;
     std::function<void()> m_listener;
     TermListener m_termListener;
 };
--- a/sessions/include/rattanbeam/sessions/internal/homeservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/homeservice.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,13 @@
     void fenceAnswered(const link::v1::FenceReply &reply);
 
     void fleetChanged();
+    bool isFirstHomeOfAny() const;
+    bool isAnyHomeElsewhere() const
+    {
+        return !firstHomes().empty();
+    }
+    /// Addresses of the first homes of all services.
+    std::set<std::string> firstHomes() const;
     void termSeen(const ServiceName &service, const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt);
     void tick();
     void paused(decisions::Duration pause);
--- a/sessions/include/rattanbeam/sessions/internal/peerlinks.h
+++ b/sessions/include/rattanbeam/sessions/internal/peerlinks.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace rattanbeam::sessions::internal
@@ -18,9 +19,11 @@
 public:
     /// `sent` frames may have been handled, `unsent` ones were not.
     using Lost = std::function<void(const std::string &address, const std::deque<Frame> &unsent)>;
+    /// A peer said what it knows of the fleet.
+    using Known = std::function<void(std::uint64_t configurationVersion, std::uint64_t membersDigest)>;
     using Arrived = std::function<void(const std::string &address, const Frame &frame)>;
 
-    PeerLinks(EventLoop &loop, Arrived arrived, Lost lost);
+    PeerLinks(EventLoop &loop, Arrived arrived, Lost lost, Known known);
 
     /// False when the instance was found unreachable a moment ago; nothing was sent then.
     bool send(const std::string &address, const Frame &frame);
@@ -28,6 +31,8 @@
     /// Whether a send now would be refused.
     bool isSuspect(const std::string &address) const;
     bool isLeaving(const std::string &address) const;
+    /// Keeps links to these instances, and looks for their answers, also while nothing is sent.
+    void keep(const std::set<std::string> &addresses);
     /// To be called every few milliseconds.
     void tick();
     /// This process stood still for `pause`: silence in that time says nothing about peers.
@@ -47,6 +52,7 @@
         decisions::TimePoint lastUsed = decisions::longAgo;
         decisions::TimePoint nextTryAt = decisions::longAgo;
         decisions::Duration backoff{};
+        bool isKept = false;
         std::uint64_t generation = 0;
     };
 
@@ -58,6 +64,7 @@
     EventLoop &m_loop;
     Arrived m_arrived;
     Lost m_lost;
+    Known m_known;
     std::map<std::string, Link> m_links;
 };
 
--- a/sessions/include/rattanbeam/sessions/sessionsettings.h
+++ b/sessions/include/rattanbeam/sessions/sessionsettings.h
@@ -26,6 +26,8 @@
     /// The platform's services.
     std::string storeAddress;
     std::string promotionAddress;
+    /// How soon an accepted configuration has to be in force.
+    std::chrono::milliseconds configurationBound{};
     /// Time from the request to stop until the process is killed.
     std::chrono::milliseconds grace{};
     kernel::LogLevel logLevel = kernel::LogLevel::Info;
--- a/sessions/src/internal/directory.cpp
+++ b/sessions/src/internal/directory.cpp
@@ -17,17 +17,14 @@
 {
 
 // A watch that went silent shows only when its time is up, so what has a bound is asked for more often.
-constexpr std::chrono::milliseconds boundedWatchWait = 4s;
+constexpr std::chrono::milliseconds membersWatchWait = 4s;
 constexpr std::chrono::milliseconds plainWatchWait = 15s;
+constexpr std::chrono::milliseconds leastWatchWait = 500ms;
+constexpr std::chrono::milliseconds applySlack = 300ms; // between the end of a silent watch and the new configuration
+constexpr decisions::Duration peerLookPause = 1500ms;
 constexpr decisions::Duration leastBackoff = 100ms;
 constexpr decisions::Duration mostBackoff = 800ms;
 
-std::chrono::milliseconds watchWait(Collection collection)
-{
-    const bool isBounded = collection == Collection::Configuration || collection == Collection::Members;
-    return isBounded ? boundedWatchWait : plainWatchWait;
-}
-
 const char *collectionName(Collection collection)
 {
     switch (collection) {
@@ -57,9 +54,61 @@
 
 } // namespace
 
-Directory::Directory(EventLoop &loop, RecordStore &store) : m_loop(loop), m_store(store)
+Directory::Directory(EventLoop &loop, RecordStore &store, std::chrono::milliseconds configurationBound)
+    : m_loop(loop), m_store(store), m_configurationBound(configurationBound)
 {}
 
+std::chrono::milliseconds Directory::watchWait(Collection collection) const
+{
+    if (!m_areWatchesShort || collection == Collection::Instances || collection == Collection::Terms) {
+        return plainWatchWait;
+    }
+    return collection == Collection::Members ? membersWatchWait : std::max(leastWatchWait, m_configurationBound - applySlack);
+}
+
+void Directory::setWatchesShort(bool isShort)
+{
+    if (std::exchange(m_areWatchesShort, isShort) == isShort || !isShort) {
+        return;
+    }
+    for (Followed *followed : {&m_configurations, &m_members}) {
+        if (followed->isWatching) {
+            watch(*followed);
+        }
+    }
+}
+
+std::uint64_t Directory::membersDigest() const
+{
+    std::uint64_t digest = 0;
+    for (const auto &[name, record] : m_members.records) {
+        digest ^= decisions::stableHash(name + '@' + std::to_string(record.revision));
+    }
+    return digest;
+}
+
+void Directory::peerKnows(std::uint64_t configurationVersion, std::uint64_t membersDigest)
+{
+    if (!isReady()) {
+        return;
+    }
+    const TimePoint now = EventLoop::now();
+    const bool isBehind = configurationVersion > m_configuration->version;
+    // A difference that lasts over two looks is more than an event on its way.
+    const bool isDifferent = membersDigest != 0 && membersDigest != this->membersDigest() && membersDigest == m_peerDigest;
+    m_peerDigest = membersDigest;
+    if ((!isBehind && !isDifferent) || now - m_peerLookAt < peerLookPause) {
+        return;
+    }
+    m_peerLookAt = now;
+    LogEvent("behind-a-peer").with("version", m_configuration->version).with("peer_version", configurationVersion);
+    for (Followed *followed : {&m_configurations, &m_members}) {
+        if (followed->isWatching && (isBehind || followed == &m_members)) {
+            watch(*followed);
+        }
+    }
+}
+
 void Directory::start()
 {
     for (Followed *followed : {&m_configurations, &m_members, &m_instances, &m_terms}) {
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -224,6 +224,27 @@
     return !m_isAway && !order.empty() && order.front().id == m_settings.instance;
 }
 
+bool HomeService::isFirstHomeOfAny() const
+{
+    return firstHomes().contains(m_settings.peerAddress);
+}
+
+std::set<std::string> HomeService::firstHomes() const
+{
+    std::set<std::string> addresses;
+    if (!m_directory.configuration()) {
+        return addresses;
+    }
+    const auto instances = m_directory.instances();
+    for (const ServiceLimits &limits : m_directory.configuration()->services) {
+        const auto order = homeOrder(limits.service, instances);
+        if (!order.empty()) {
+            addresses.insert(order.front().address);
+        }
+    }
+    return addresses;
+}
+
 void HomeService::feedGroup(Group &group)
 {
     const TimePoint now = EventLoop::now();
--- a/sessions/src/internal/peerlinks.cpp
+++ b/sessions/src/internal/peerlinks.cpp
@@ -27,7 +27,8 @@
 
 } // namespace
 
-PeerLinks::PeerLinks(EventLoop &loop, Arrived arrived, Lost lost) : m_loop(loop), m_arrived(std::move(arrived)), m_lost(std::move(lost))
+PeerLinks::PeerLinks(EventLoop &loop, Arrived arrived, Lost lost, Known known)
+    : m_loop(loop), m_arrived(std::move(arrived)), m_lost(std::move(lost)), m_known(std::move(known))
 {}
 
 bool PeerLinks::send(const std::string &address, const Frame &frame)
@@ -52,6 +53,20 @@
     return true;
 }
 
+void PeerLinks::keep(const std::set<std::string> &addresses)
+{
+    for (auto &[address, link] : m_links) {
+        link.isKept = false;
+    }
+    for (const std::string &address : addresses) {
+        Link &link = m_links[address];
+        link.isKept = true;
+        if (!link.stream && !link.isSuspect) {
+            open(address, link);
+        }
+    }
+}
+
 bool PeerLinks::isUsable(const std::string &address) const
 {
     const auto found = m_links.find(address);
@@ -113,6 +128,7 @@
     }
     if (frame.has_pong()) {
         link.isLeaving = frame.pong().leaving();
+        m_known(frame.pong().configuration_version(), frame.pong().members_digest());
         return;
     }
     m_arrived(address, frame);
@@ -150,14 +166,14 @@
     std::vector<std::pair<std::string, std::uint64_t>> silent;
     for (auto &[address, link] : m_links) {
         if (!link.stream) {
-            if (link.isSuspect && now >= link.nextTryAt && now - link.lastUsed < wantedFor) {
+            if (link.isSuspect && now >= link.nextTryAt && (link.isKept || now - link.lastUsed < wantedFor)) {
                 open(address, link);
             }
             continue;
         }
         if (link.isPingOwed && now - link.pingSentAt > pingTimeout) {
             silent.emplace_back(address, link.generation);
-        } else if (!link.isPingOwed && link.isEstablished && now - link.pingSentAt > pingInterval && now - link.lastUsed < usedFor) {
+        } else if (!link.isPingOwed && link.isEstablished && now - link.pingSentAt > pingInterval && (link.isKept || now - link.lastUsed < usedFor)) {
             ping(link);
         }
     }
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -47,7 +47,7 @@
         , settings(instanceSettings)
         , ports(std::move(instancePorts))
         , incarnation(startTimeMs())
-        , directory(loop, *ports.store)
+        , directory(loop, *ports.store, settings.configurationBound)
         , links(
               loop,
               [this](const std::string &address, const link::v1::Frame &frame) {
@@ -55,6 +55,9 @@
               },
               [this](const std::string &address, const std::deque<link::v1::Frame> &unsent) {
                   entry.linkLost(address, unsent);
+              },
+              [this](std::uint64_t configurationVersion, std::uint64_t membersDigest) {
+                  directory.peerKnows(configurationVersion, membersDigest);
               })
         , homes(loop, settings, incarnation, directory, links, ports)
         , entry(loop, settings, directory, links, homes, metrics)
@@ -66,6 +69,7 @@
     void scheduleTick();
     void measureLag();
     bool isAway() const;
+    void keepHomes();
     void announceAway();
     void askForSnapshot();
     internal::FrameEvents acceptPeer(const std::shared_ptr<internal::FrameStream> &stream);
@@ -148,6 +152,8 @@
     directory.onChange([this] {
         entry.fleetChanged();
         homes.fleetChanged();
+        directory.setWatchesShort(homes.isFirstHomeOfAny() || !homes.isAnyHomeElsewhere());
+        keepHomes();
         if (directory.isReady() && !std::exchange(isReadyReported, true)) {
             LogEvent("ready").with("version", directory.configuration()->version).with("members", directory.members().size());
         }
@@ -194,6 +200,14 @@
     }
 }
 
+/// Homes know first when something changes.
+void SessionInstance::Parts::keepHomes()
+{
+    std::set<std::string> addresses = homes.firstHomes();
+    addresses.erase(settings.peerAddress);
+    links.keep(addresses);
+}
+
 bool SessionInstance::Parts::isAway() const
 {
     return isLeaving || lagMeter.isOverloaded();
@@ -279,6 +293,10 @@
     case link::v1::Frame::kPing:
         answer.mutable_pong()->set_number(frame.ping().number());
         answer.mutable_pong()->set_leaving(isAway());
+        if (directory.isReady()) {
+            answer.mutable_pong()->set_configuration_version(directory.configuration()->version);
+            answer.mutable_pong()->set_members_digest(directory.membersDigest());
+        }
         stream->write(answer);
         break;
     case link::v1::Frame::kStatement:
--- a/sessions/src/sessionsettings.cpp
+++ b/sessions/src/sessionsettings.cpp
@@ -63,6 +63,7 @@
     settings.storeAddress = address(reader, "platform", "store", true);
     settings.promotionAddress = address(reader, "platform", "promotions", false);
     settings.grace = reader.duration("limits", "grace", {500, 600'000}, 6s);
+    settings.configurationBound = reader.duration("limits", "configuration-bound", {500, 600'000}, 3s);
     const std::string level = reader.choice("log", "level", {"debug", "info", "warning", "error"}, "info");
     settings.logLevel = level == "debug"     ? kernel::LogLevel::Debug
                         : level == "warning" ? kernel::LogLevel::Warning
--- a/sessions/test/fakeplatform.h
+++ b/sessions/test/fakeplatform.h
@@ -255,6 +255,7 @@
         settings.ip = "127.0.0.1";
         settings.peerAddress = "127.0.0.1:0";
         settings.grace = 4s;
+        settings.configurationBound = 3s;
         instance = std::make_unique<SessionInstance>(loop,
                                                      settings,
                                                      Ports{std::move(fakeStore), std::move(fakeMembers), std::make_unique<FakePromotions>()});
