--- a/daemon/src/main.cpp
+++ b/daemon/src/main.cpp
@@ -118,7 +118,7 @@
         std::cout << arguments.configFile << ": ok\n";
         return 0;
     }
-    rattanbeam::kernel::startLog(settings->logLevel, settings->instance.text());
+    rattanbeam::kernel::startBoundedLog(settings->logLevel, settings->instance.text(), settings->logLinesPerSecond);
     return rattanbeam::platform::runSessionDaemon(*settings, arguments.configFile);
 }
 
--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -121,6 +121,8 @@
         Duration backoff{};
         std::optional<ReplicationStatus> status;
         LogPosition applied;
+        /// It was further behind than its lag had told: only what it showed counts until then.
+        TimePoint distrustedUntil = longAgo;
         TimePoint peersAskedAt = longAgo;
         /// What peers said since the member went silent: how many reach it, how many do not.
         std::optional<std::pair<std::size_t, std::size_t>> peerVerdict;
--- a/decisions/src/session/grouphome.cpp
+++ b/decisions/src/session/grouphome.cpp
@@ -112,7 +112,7 @@
         return true;
     }
     const auto reachedAt = m_watermark.reachedAt(required);
-    if (!reachedAt || !member.status || member.status->fencedAt != 0) {
+    if (!reachedAt || !member.status || member.status->fencedAt != 0 || now < member.distrustedUntil) {
         return false;
     }
     return *reachedAt + std::chrono::milliseconds(member.status->lagMs) + coverMargin <= now;
--- a/decisions/src/session/grouphomemembers.cpp
+++ b/decisions/src/session/grouphomemembers.cpp
@@ -14,6 +14,7 @@
 constexpr Duration leastBackoff = 100ms;
 constexpr Duration mostBackoff = 1000ms;
 constexpr std::size_t warmConnections = 3;
+constexpr Duration distrustTime = 250ms;
 constexpr int heldShare = 5; // of the objective that work may wait for a primary
 constexpr int stallPercent = 60; // of the objective, until a read counts as stalled
 constexpr std::size_t statementsAhead = 1; // hides the way to the member from its slots
@@ -461,9 +462,7 @@
     }
     if (answer.error == StatementError::Lagging) {
         member.applied = answer.position ? *answer.position : LogPosition{};
-        if (member.status) {
-            member.status->lagMs = std::max<std::uint32_t>(member.status->lagMs * 2, 50);
-        }
+        member.distrustedUntil = now + distrustTime;
     }
     const bool isRepeatable = isNotRun(answer.error) && answer.error != StatementError::Malformed && (!isInTransaction || opens);
     if (isRepeatable) {
--- a/decisions/test/session/grouphome_test.cpp
+++ b/decisions/test/session/grouphome_test.cpp
@@ -107,6 +107,32 @@
     CHECK(group.replyTo(request.number)->answer.isSuccess());
 }
 
+TEST_CASE("A read that a replica is too far behind for goes to another member, not to the same again", "[grouphome]")
+{
+    FakeGroup group;
+    group.settle();
+    HomeRequest request = group.read("r1", Consistency::BoundedAge);
+    group.home.request(request, group.now);
+    std::set<MemberId> asked;
+    for (int i = 0; i < 2; ++i) {
+        REQUIRE_FALSE(group.sent.empty());
+        const FakeGroup::Sent next = group.sent.back();
+        const MemberId member = group.owners.at(next.connection);
+        if (member == MemberId("m1")) {
+            break;
+        }
+        CHECK(asked.insert(member).second);
+        group.sent.pop_back();
+        --group.owed[next.connection];
+        Answer lagging = Answer::failure(StatementError::Lagging, "", SessionPhase::Idle);
+        lagging.position = LogPosition{1, 1};
+        group.home.answered(next.connection, lagging, std::nullopt, group.now);
+    }
+    group.answerAll();
+    REQUIRE(group.replyTo(request.number) != nullptr);
+    CHECK(group.replyTo(request.number)->answer.signature == "signed-by-m1");
+}
+
 TEST_CASE("A write whose answer does not come is never sent again", "[grouphome]")
 {
     FakeGroup group;
--- a/kernel/include/rattanbeam/kernel/logevent.h
+++ b/kernel/include/rattanbeam/kernel/logevent.h
@@ -50,4 +50,8 @@
 /// Sets what is written, for the whole process. `instance` is added to each line.
 void startLog(LogLevel least, const std::string &instance);
 
+/// Also bounds the log: at most `linesPerSecond` lines below warnings, and as many of warnings and errors, and never a wait
+/// for whoever reads standard output. Lines left out are counted in the log.
+void startBoundedLog(LogLevel least, const std::string &instance, std::uint32_t linesPerSecond);
+
 } // namespace rattanbeam::kernel
--- a/kernel/src/logevent.cpp
+++ b/kernel/src/logevent.cpp
@@ -1,7 +1,13 @@
 #include "rattanbeam/kernel/logevent.h"
 
+#include "boundedsink.h"
+
 #include <spdlog/spdlog.h>
 
+#include <unistd.h>
+
+#include <memory>
+
 namespace rattanbeam::kernel
 {
 
@@ -75,6 +81,12 @@
     m_line += quoted(value);
 }
 
+void startBoundedLog(LogLevel least, const std::string &instance, std::uint32_t linesPerSecond)
+{
+    spdlog::set_default_logger(std::make_shared<spdlog::logger>("", std::make_shared<BoundedSink>(STDOUT_FILENO, linesPerSecond)));
+    startLog(least, instance);
+}
+
 void startLog(LogLevel least, const std::string &instance)
 {
     instanceName() = instance;
--- a/sessions/include/rattanbeam/sessions/sessionsettings.h
+++ b/sessions/include/rattanbeam/sessions/sessionsettings.h
@@ -31,7 +31,7 @@
     /// Time from the request to stop until the process is killed.
     std::chrono::milliseconds grace{};
     kernel::LogLevel logLevel = kernel::LogLevel::Info;
-    /// Lines a second that the log may take for requests that succeed.
+    /// Lines a second that the log may take, and as many again for warnings; requests that succeed take a tenth.
     std::uint32_t logLinesPerSecond = 0;
 
     auto operator<=>(const SessionSettings &) const = default;
--- a/sessions/src/internal/entryservice.cpp
+++ b/sessions/src/internal/entryservice.cpp
@@ -20,7 +20,7 @@
 constexpr std::uint32_t mostAttempts = 4;
 constexpr decisions::Duration unfitFor = 1s;
 constexpr decisions::Duration replySlack = 100ms; // beyond the home's own deadline
-constexpr std::uint32_t failureLinesPerSecond = 200;
+constexpr std::uint32_t successShare = 10; // of the log's lines that successes may take
 
 const char *consistencyName(Consistency consistency)
 {
@@ -410,12 +410,11 @@
         m_logLines = 0;
         m_logOmitted = 0;
     }
-    const std::uint32_t budget = m_settings.logLinesPerSecond + (answer.isSuccess() ? 0 : failureLinesPerSecond);
-    if (m_logLines >= budget) {
+    if (answer.isSuccess() && m_logLines >= m_settings.logLinesPerSecond / successShare) {
         ++m_logOmitted;
         return;
     }
-    ++m_logLines;
+    m_logLines += answer.isSuccess() ? 1 : 0;
     LogEvent(answer.isSuccess() ? "statement-answered" : "statement-failed", answer.isSuccess() ? LogLevel::Info : LogLevel::Warning)
         .with("request", pending.forwarded.statement.id)
         .with("session", pending.session)
--- a/sessions/src/sessionsettings.cpp
+++ b/sessions/src/sessionsettings.cpp
@@ -69,7 +69,7 @@
                         : level == "warning" ? kernel::LogLevel::Warning
                         : level == "error"   ? kernel::LogLevel::Error
                                              : kernel::LogLevel::Info;
-    settings.logLinesPerSecond = static_cast<std::uint32_t>(reader.integer("log", "lines-per-second", {0, 100'000}, 20));
+    settings.logLinesPerSecond = static_cast<std::uint32_t>(reader.integer("log", "lines-per-second", {1, 100'000}, 200));
     if (const auto error = reader.finish()) {
         return *error;
     }
