--- a/decisions/src/session/clientsession.cpp
+++ b/decisions/src/session/clientsession.cpp
@@ -74,8 +74,8 @@
         forwarded.transaction = m_transaction;
         forwarded.opensTransaction = !m_isStarted;
     } else {
-        forwarded.isReadOnly = statement.kind == StatementKind::Read
-            || (statement.kind == StatementKind::Execute && isReadDefinition(forwarded.definition));
+        forwarded.isReadOnly
+            = statement.kind == StatementKind::Read || (statement.kind == StatementKind::Execute && isReadDefinition(forwarded.definition));
     }
     return forwarded;
 }
--- a/decisions/src/session/grouphome.cpp
+++ b/decisions/src/session/grouphome.cpp
@@ -19,7 +19,11 @@
 } // namespace
 
 GroupHome::GroupHome(ServiceName service, std::string self, const GroupHomeLimits &limits, HomeEffects &effects)
-    : m_service(std::move(service)), m_self(std::move(self)), m_limits(limits), m_effects(effects), m_lease(limits.leaseLength - limits.leaseMargin)
+    : m_service(std::move(service))
+    , m_self(std::move(self))
+    , m_limits(limits)
+    , m_effects(effects)
+    , m_lease(limits.leaseLength - limits.leaseMargin)
 {}
 
 void GroupHome::setLimits(const GroupHomeLimits &limits)
@@ -137,7 +141,8 @@
         for (const Rank rank : allRanks) {
             waiting += static_cast<double>(member.queue.waiting(rank));
         }
-        const double cost = waiting / std::max(1U, member.record.slots) + (isPrimary ? primaryPenalty : 0) + (id == work.avoided ? avoidedPenalty : 0);
+        const double cost
+            = waiting / std::max(1U, member.record.slots) + (isPrimary ? primaryPenalty : 0) + (id == work.avoided ? avoidedPenalty : 0);
         if (best == nullptr || cost < bestCost) {
             best = &member;
             bestCost = cost;
@@ -284,9 +289,8 @@
     const bool isChanging = m_change.stage != Change::None;
     const TimePoint retryAt = isChanging ? std::max(now + retryPause, m_change.startedAt + 1s) : now + retryPause;
     HomeReply reply;
-    reply.answer = Answer::failure(error,
-                                   reason + ' ' + retryHint(retryAt, now),
-                                   work.request.transaction.isNone() ? SessionPhase::Idle : SessionPhase::Failed);
+    reply.answer = Answer::failure(
+        error, reason + ' ' + retryHint(retryAt, now), work.request.transaction.isNone() ? SessionPhase::Idle : SessionPhase::Failed);
     m_effects.report({"request-refused",
                       false,
                       {{"request", work.request.forwarded.statement.id},
--- a/decisions/src/session/grouphomefailover.cpp
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -208,8 +208,8 @@
     }
     const bool isNewer = !m_term || record->generation > m_term->generation;
     const bool isNamed = m_term && record->generation == m_term->generation && record->primary != m_term->primary;
-    const bool isOwnChange = m_change.stage == Change::WritingTerm && record->primary.isEmpty() && !record->homes.empty()
-        && record->homes.front() == m_self;
+    const bool isOwnChange
+        = m_change.stage == Change::WritingTerm && record->primary.isEmpty() && !record->homes.empty() && record->homes.front() == m_self;
     if (isNewer || (isNamed && m_change.stage == Change::None)) {
         adoptTerm(*record, now);
         m_lease.restart(record->generation, isListed, replicaIds());
@@ -220,7 +220,7 @@
     }
     m_lease.storeRead(record->generation, isListed, startedAt);
     const bool isOwnLateWrite = m_change.stage == Change::None && isNewer && record->primary.isEmpty() && !record->homes.empty()
-        && record->homes.front() == m_self;
+                                && record->homes.front() == m_self;
     if (isOwnChange || isOwnLateWrite) {
         m_change.token = revision;
         fenceReplicas(now);
@@ -321,9 +321,8 @@
         return;
     }
     const auto member = m_members.find(m_primary);
-    m_effects.report({"primary-suspected",
-                      true,
-                      {{"service", m_service.text()}, {"member", m_primary.text()}, {"cause", std::string(cause)}}});
+    m_effects.report(
+        {"primary-suspected", true, {{"service", m_service.text()}, {"member", m_primary.text()}, {"cause", std::string(cause)}}});
     m_change = {};
     m_change.from = m_primary;
     m_change.fromTerm = member == m_members.end() ? 0 : member->second.applied.term;
@@ -613,7 +612,8 @@
 void GroupHome::renewEvidence(TimePoint now)
 {
     const bool isNeeded = m_isFirst || !isQuiet();
-    if (isNeeded && isPrimaryUsable() && now - m_lease.evidence() > m_limits.leaseLength / 2 && now - m_termReadAt > m_limits.statusInterval) {
+    if (isNeeded && isPrimaryUsable() && now - m_lease.evidence() > m_limits.leaseLength / 2
+        && now - m_termReadAt > m_limits.statusInterval) {
         m_termReadAt = now;
         m_effects.readTerm();
     }
@@ -688,7 +688,7 @@
                                         [&](const auto &entry) {
                                             return entry.second.member == m_change.from;
                                         })
-            || (member != m_members.end() && member->second.queue.running() > 0);
+                            || (member != m_members.end() && member->second.queue.running() > 0);
         if (!isBusy || now >= m_change.stageUntil) {
             beginTermWrite(now);
         }
--- a/decisions/src/session/grouphomemembers.cpp
+++ b/decisions/src/session/grouphomemembers.cpp
@@ -49,13 +49,14 @@
         listed.insert(record.id);
         const auto found = m_members.find(record.id);
         const bool isReborn = found != m_members.end()
-            && (found->second.record.incarnation != record.incarnation || found->second.record.address != record.address);
+                              && (found->second.record.incarnation != record.incarnation || found->second.record.address != record.address);
         if (isReborn) {
             removeMember(record.id, now);
         }
         auto [at, isNew] = m_members.try_emplace(record.id, queueLimits(record));
         Member &member = at->second;
-        if (isNew || member.record.isLeaving != record.isLeaving || member.record.saysPrimary != record.saysPrimary || !member.isRegistered) {
+        if (isNew || member.record.isLeaving != record.isLeaving || member.record.saysPrimary != record.saysPrimary
+            || !member.isRegistered) {
             m_effects.report({"member-state",
                               false,
                               {{"service", m_service.text()},
@@ -432,8 +433,8 @@
         connection.prepared.clear();
     }
     // A failed transaction is rolled back here; the client's own rollback then has nothing left to do.
-    const bool isBusyCommit = answer.error == StatementError::Busy && work.request.forwarded.statement.kind == StatementKind::Commit && !opens
-        && answer.phase == SessionPhase::InTransaction;
+    const bool isBusyCommit = answer.error == StatementError::Busy && work.request.forwarded.statement.kind == StatementKind::Commit
+                              && !opens && answer.phase == SessionPhase::InTransaction;
     if (isBusyCommit && work.attempts + 1 < m_limits.mostAttempts && now < work.request.deadline) {
         ++m_work.at(number).attempts;
         enqueue(number, id, true, now);
@@ -509,7 +510,7 @@
 void GroupHome::statusAnswered(Member &member, const ReplicationStatus &status, TimePoint sentAt, TimePoint now)
 {
     const bool isChanged = !member.status || member.status->isPrimary != status.isPrimary || member.status->term != status.term
-        || member.status->fencedAt != status.fencedAt;
+                           || member.status->fencedAt != status.fencedAt;
     if (isChanged) {
         m_effects.report({"member-status",
                           false,
@@ -684,7 +685,7 @@
             continue;
         }
         const bool isStarted = member != m_members.end() && work.connection && member->second.connections.find(*work.connection) != nullptr
-            && member->second.connections.find(*work.connection)->work == number;
+                               && member->second.connections.find(*work.connection)->work == number;
         if (isStarted) {
             dropConnection(member->second, *work.connection, false, StatementError::InDoubt, now);
         } else if (member != m_members.end()) {
@@ -702,8 +703,8 @@
     std::vector<WorkNumber> stalled;
     for (const auto &[number, work] : m_work) {
         const HomeRequest &request = work.request;
-        const bool mayRepeat = work.isSent && work.connection && request.forwarded.isReadOnly && request.transaction.isNone()
-            && work.avoided.isEmpty();
+        const bool mayRepeat
+            = work.isSent && work.connection && request.forwarded.isReadOnly && request.transaction.isNone() && work.avoided.isEmpty();
         const auto member = mayRepeat ? m_members.find(work.member) : m_members.end();
         if (member == m_members.end()) {
             continue;
--- a/kernel/test/boundedlog_test.cpp
+++ b/kernel/test/boundedlog_test.cpp
@@ -55,7 +55,7 @@
         LogEvent("full").with("filler", filler);
     }
     output.read();
-    LogEvent("after");
+    LogEvent("after").with("full", "no");
     const std::string text = output.read();
     startBoundedLog(LogLevel::Info, "", 1'000'000);
     CHECK(text.find("event=log-lines-omitted count=") != std::string::npos);
@@ -67,7 +67,7 @@
     PipedOutput output;
     startBoundedLog(LogLevel::Info, "a1", 10);
     for (int i = 0; i < 50; ++i) {
-        LogEvent("many");
+        LogEvent("many").with("number", i);
     }
     LogEvent("important", LogLevel::Warning);
     const std::string text = output.read();
--- a/sessions/include/rattanbeam/sessions/eventloop.h
+++ b/sessions/include/rattanbeam/sessions/eventloop.h
@@ -2,10 +2,10 @@
 
 #include "rattanbeam/decisions/timepoint.h"
 
-#include <utility> // Boost.Asio 1.74 needs it first
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <utility> // Boost.Asio 1.74 needs it first
 
 #include <functional>
 #include <memory>
--- a/sessions/include/rattanbeam/sessions/internal/directory.h
+++ b/sessions/include/rattanbeam/sessions/internal/directory.h
@@ -20,7 +20,8 @@
 class Directory
 {
 public:
-    using TermListener = std::function<void(const ServiceName &, const std::optional<TermRecord> &, std::uint64_t revision, TimePoint startedAt)>;
+    using TermListener
+        = std::function<void(const ServiceName &, const std::optional<TermRecord> &, std::uint64_t revision, TimePoint startedAt)>;
 
     /// `configurationBound`: how soon an accepted configuration has to be in force.
     Directory(EventLoop &loop, RecordStore &store, std::chrono::milliseconds configurationBound);
--- a/sessions/include/rattanbeam/sessions/internal/homeservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/homeservice.h
@@ -25,14 +25,15 @@
 public:
     using Reply = std::function<void(const link::v1::StatementReply &)>;
 
-    HomeService(EventLoop &loop, const SessionSettings &settings, std::uint64_t incarnation, Directory &directory, PeerLinks &links, Ports &ports);
+    HomeService(
+        EventLoop &loop, const SessionSettings &settings, std::uint64_t incarnation, Directory &directory, PeerLinks &links, Ports &ports);
     ~HomeService();
 
     /// A statement of the entry instance `entry`.
     void handle(const std::string &entry, const link::v1::StatementRequest &request, Reply reply);
     void endTransaction(const std::string &entry, const link::v1::TransactionEnd &end);
     void entryLost(const std::string &entry);
-    void probe(const link::v1::ProbeRequest &request, std::function<void(bool isReachable)> reply);
+    void probe(const link::v1::ProbeRequest &request, const std::function<void(bool isReachable)> &reply);
     void fence(const link::v1::FenceRequest &request);
     /// Answers to what this instance's homes asked.
     void probeAnswered(const link::v1::ProbeReply &reply);
--- a/sessions/include/rattanbeam/sessions/sessioninstance.h
+++ b/sessions/include/rattanbeam/sessions/sessioninstance.h
@@ -30,7 +30,7 @@
     bool isReady() const;
     /// Finishes what is under way. `closeFront` is to stop new client connections once the balancer sends none; `stopped`
     /// comes last.
-    void drain(std::function<void()> closeFront, std::function<void()> stopped);
+    void drain(std::function<void()> closeFront, const std::function<void()> &stopped);
     /// All counters and latencies, in the Prometheus text format.
     std::string metricsText() const;
 
--- a/sessions/src/internal/directory.cpp
+++ b/sessions/src/internal/directory.cpp
@@ -294,17 +294,15 @@
 void Directory::readTerm(const ServiceName &service)
 {
     const TimePoint startedAt = EventLoop::now();
-    m_store.read(Collection::Terms,
-                 service.text(),
-                 [this, service, startedAt](StoreOutcome outcome, const std::optional<Record> &record) {
-                     storeAnswered(outcome == StoreOutcome::Absent ? StoreOutcome::Done : outcome);
-                     if (outcome == StoreOutcome::Absent && m_termListener) {
-                         m_termListener(service, std::nullopt, 0, startedAt);
-                     }
-                     if (outcome == StoreOutcome::Done && record) {
-                         apply(m_terms, *record, startedAt);
-                     }
-                 });
+    m_store.read(Collection::Terms, service.text(), [this, service, startedAt](StoreOutcome outcome, const std::optional<Record> &record) {
+        storeAnswered(outcome == StoreOutcome::Absent ? StoreOutcome::Done : outcome);
+        if (outcome == StoreOutcome::Absent && m_termListener) {
+            m_termListener(service, std::nullopt, 0, startedAt);
+        }
+        if (outcome == StoreOutcome::Done && record) {
+            apply(m_terms, *record, startedAt);
+        }
+    });
 }
 
 link::v1::Snapshot Directory::snapshot() const
@@ -405,11 +403,8 @@
         apply(m_members, {each.id(), each.revision(), false, member}, longBefore);
     }
     for (const auto &each : snapshot.instances()) {
-        const InstanceRecord instance{decisions::InstanceId(each.id()),
-                                      each.address(),
-                                      decisions::FailureDomain(each.domain()),
-                                      each.incarnation(),
-                                      each.leaving()};
+        const InstanceRecord instance{
+            decisions::InstanceId(each.id()), each.address(), decisions::FailureDomain(each.domain()), each.incarnation(), each.leaving()};
         apply(m_instances, {each.id(), each.revision(), false, instance}, longBefore);
     }
     for (const auto &each : snapshot.terms()) {
--- a/sessions/src/internal/entryservice.cpp
+++ b/sessions/src/internal/entryservice.cpp
@@ -51,12 +51,8 @@
 
 } // namespace
 
-EntryService::EntryService(EventLoop &loop,
-                           const SessionSettings &settings,
-                           Directory &directory,
-                           PeerLinks &links,
-                           HomeService &homes,
-                           kernel::Metrics &metrics)
+EntryService::EntryService(
+    EventLoop &loop, const SessionSettings &settings, Directory &directory, PeerLinks &links, HomeService &homes, kernel::Metrics &metrics)
     : m_loop(loop), m_settings(settings), m_directory(directory), m_links(links), m_homes(homes), m_metrics(metrics)
 {}
 
@@ -369,11 +365,12 @@
     for (const std::uint64_t request : overdue) {
         if (m_pending.contains(request)) {
             const Pending &pending = m_pending.at(request);
-            const bool mayHaveWritten
-                = pending.forwarded.transaction == 0 ? !pending.forwarded.isReadOnly : pending.forwarded.statement.kind == StatementKind::Commit;
-            complete(request,
-                     Answer::failure(mayHaveWritten ? StatementError::InDoubt : StatementError::TimedOut, "home-silent", SessionPhase::Idle),
-                     false);
+            const bool mayHaveWritten = pending.forwarded.transaction == 0 ? !pending.forwarded.isReadOnly
+                                                                           : pending.forwarded.statement.kind == StatementKind::Commit;
+            complete(
+                request,
+                Answer::failure(mayHaveWritten ? StatementError::InDoubt : StatementError::TimedOut, "home-silent", SessionPhase::Idle),
+                false);
         }
     }
 }
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -172,9 +172,10 @@
     }
     void orderPromotion(const MemberId &member, std::uint64_t token) override
     {
-        m_service.m_ports.promotions->order(m_name, member, m_service.m_settings.instance.text(), token, [this, member](PromotionResult result) {
-            m_home.promotionAnswered(member, result, EventLoop::now());
-        });
+        m_service.m_ports.promotions->order(
+            m_name, member, m_service.m_settings.instance.text(), token, [this, member](PromotionResult result) {
+                m_home.promotionAnswered(member, result, EventLoop::now());
+            });
     }
     void report(const HomeEvent &event) override
     {
@@ -191,12 +192,8 @@
     GroupHome m_home;
 };
 
-HomeService::HomeService(EventLoop &loop,
-                         const SessionSettings &settings,
-                         std::uint64_t incarnation,
-                         Directory &directory,
-                         PeerLinks &links,
-                         Ports &ports)
+HomeService::HomeService(
+    EventLoop &loop, const SessionSettings &settings, std::uint64_t incarnation, Directory &directory, PeerLinks &links, Ports &ports)
     : m_loop(loop)
     , m_settings(settings)
     , m_self(settings.instance.text() + '/' + std::to_string(incarnation))
@@ -304,7 +301,7 @@
     }
 }
 
-void HomeService::probe(const link::v1::ProbeRequest &request, std::function<void(bool)> reply)
+void HomeService::probe(const link::v1::ProbeRequest &request, const std::function<void(bool)> &reply)
 {
     const auto members = m_directory.members();
     const auto found = std::find_if(members.begin(), members.end(), [&](const MemberRecord &member) {
--- a/sessions/src/internal/instancelink.cpp
+++ b/sessions/src/internal/instancelink.cpp
@@ -131,7 +131,7 @@
     bool m_isClosed = false;
 };
 
-class ClientHandle : public FrameStream
+class ClientHandle final : public FrameStream
 {
 public:
     ClientHandle(std::shared_ptr<ClientStream> stream, std::shared_ptr<EventsOnLoop> events)
--- a/sessions/src/internal/peerlinks.cpp
+++ b/sessions/src/internal/peerlinks.cpp
@@ -173,7 +173,8 @@
         }
         if (link.isPingOwed && now - link.pingSentAt > pingTimeout) {
             silent.emplace_back(address, link.generation);
-        } else if (!link.isPingOwed && link.isEstablished && now - link.pingSentAt > pingInterval && (link.isKept || now - link.lastUsed < usedFor)) {
+        } else if (!link.isPingOwed && link.isEstablished && now - link.pingSentAt > pingInterval
+                   && (link.isKept || now - link.lastUsed < usedFor)) {
             ping(link);
         }
     }
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -64,7 +64,7 @@
     {}
 
     bool start();
-    void drain(std::function<void()> closeFront, std::function<void()> stopped);
+    void drain(std::function<void()> closeFront, const std::function<void()> &stopped);
     void registerSelf();
     void scheduleTick();
     void measureLag();
@@ -118,9 +118,9 @@
     return m_parts->directory.isReady() && !m_parts->isLeaving;
 }
 
-void SessionInstance::drain(std::function<void()> closeFront, std::function<void()> stopped)
+void SessionInstance::drain(std::function<void()> closeFront, const std::function<void()> &stopped)
 {
-    m_parts->drain(std::move(closeFront), std::move(stopped));
+    m_parts->drain(std::move(closeFront), stopped);
 }
 
 std::string SessionInstance::metricsText() const
@@ -142,9 +142,10 @@
 
 bool SessionInstance::Parts::start()
 {
-    server = std::make_unique<internal::InstanceServer>(loop, settings.peerAddress, [this](const std::shared_ptr<internal::FrameStream> &stream) {
-        return acceptPeer(stream);
-    });
+    server = std::make_unique<internal::InstanceServer>(
+        loop, settings.peerAddress, [this](const std::shared_ptr<internal::FrameStream> &stream) {
+            return acceptPeer(stream);
+        });
     if (!server->isListening()) {
         LogEvent("bind-failed", LogLevel::Error).with("address", settings.peerAddress);
         return false;
@@ -162,9 +163,10 @@
             registerSelf(); // removed by somebody who took this instance for dead
         }
     });
-    directory.onTerm([this](const ServiceName &service, const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt) {
-        homes.termSeen(service, record, revision, startedAt);
-    });
+    directory.onTerm(
+        [this](const ServiceName &service, const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt) {
+            homes.termSeen(service, record, revision, startedAt);
+        });
     directory.start();
     registerSelf();
     scheduleTick();
@@ -286,7 +288,9 @@
     return events;
 }
 
-void SessionInstance::Parts::peerAsked(const std::string &name, const std::shared_ptr<internal::FrameStream> &stream, const link::v1::Frame &frame)
+void SessionInstance::Parts::peerAsked(const std::string &name,
+                                       const std::shared_ptr<internal::FrameStream> &stream,
+                                       const link::v1::Frame &frame)
 {
     link::v1::Frame answer;
     switch (frame.body_case()) {
@@ -354,7 +358,7 @@
     }
 }
 
-void SessionInstance::Parts::drain(std::function<void()> closeFront, std::function<void()> stopped)
+void SessionInstance::Parts::drain(std::function<void()> closeFront, const std::function<void()> &stopped)
 {
     if (std::exchange(isLeaving, true)) {
         return;
@@ -383,7 +387,8 @@
     }
     LogEvent("drain-ended").with("complete", isDone).with("sessions", entry.sessions());
     if (ownRevision != 0) {
-        ports.store->remove(Collection::Instances, settings.instance.text(), ownRevision, [](StoreOutcome, const std::optional<Record> &) {});
+        ports.store->remove(
+            Collection::Instances, settings.instance.text(), ownRevision, [](StoreOutcome, const std::optional<Record> &) {});
     }
     loop.after(drainPoll, stopped);
 }
--- a/sessions/src/sessionsettings.cpp
+++ b/sessions/src/sessionsettings.cpp
@@ -16,13 +16,13 @@
 bool isAddress(const std::string &text)
 {
     const auto colon = text.rfind(':');
-    return colon != std::string::npos && colon > 0 && colon + 1 < text.size()
-        && text.find_first_not_of("0123456789.", 0) == colon && text.find_first_not_of("0123456789", colon + 1) == std::string::npos;
+    return colon != std::string::npos && colon > 0 && colon + 1 < text.size() && text.find_first_not_of("0123456789.", 0) == colon
+           && text.find_first_not_of("0123456789", colon + 1) == std::string::npos;
 }
 
 std::string address(IniReader &reader, const std::string &section, const std::string &key, bool isRequired)
 {
-    const std::string text = isRequired ? reader.requiredText(section, key) : reader.text(section, key, "");
+    std::string text = isRequired ? reader.requiredText(section, key) : reader.text(section, key, "");
     if (!text.empty() && !isAddress(text)) {
         reader.fail(section, key, "'" + text + "' is not an IP address and port");
     }
--- a/sessions/test/fakeplatform.h
+++ b/sessions/test/fakeplatform.h
@@ -66,7 +66,8 @@
             }
         });
     }
-    void write(Collection collection, const std::string &name, const RecordValue &value, std::uint64_t expected, RecordCallback callback) override
+    void write(
+        Collection collection, const std::string &name, const RecordValue &value, std::uint64_t expected, RecordCallback callback) override
     {
         later([=, this, callback = std::move(callback)] {
             const auto found = records.find({collection, name});
@@ -179,7 +180,8 @@
             if (isClientWork) {
                 m_members.ran.push_back(command.statement.id);
             }
-            Answer answer = Answer::success(command.statement.kind == StatementKind::Begin ? SessionPhase::InTransaction : SessionPhase::Idle);
+            Answer answer
+                = Answer::success(command.statement.kind == StatementKind::Begin ? SessionPhase::InTransaction : SessionPhase::Idle);
             answer.position = decisions::LogPosition{1, 1};
             answer.signature = isClientWork ? "signed" : "";
             std::optional<ReplicationStatus> status;
@@ -256,9 +258,8 @@
         settings.peerAddress = "127.0.0.1:0";
         settings.grace = 4s;
         settings.configurationBound = 3s;
-        instance = std::make_unique<SessionInstance>(loop,
-                                                     settings,
-                                                     Ports{std::move(fakeStore), std::move(fakeMembers), std::make_unique<FakePromotions>()});
+        instance = std::make_unique<SessionInstance>(
+            loop, settings, Ports{std::move(fakeStore), std::move(fakeMembers), std::make_unique<FakePromotions>()});
         instance->start();
     }
     void fill()
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 folder=${1:-build}
-packages='decisions|model|kernel|protocol|proxy|daemon|operator|standins|systemtests'
+packages='decisions|model|kernel|protocol|proxy|sessions|platform|daemon|operator|standins|systemtests'
 output=$(mktemp)
 trap 'rm -f "$output"' EXIT
 if ! run-clang-tidy -quiet -p "$folder" "^$PWD/($packages)/(src|test|apps|benchmark)/" >"$output" 2>&1; then
