--- a/decisions/include/rattanbeam/decisions/rankqueue.h
+++ b/decisions/include/rattanbeam/decisions/rankqueue.h
@@ -91,6 +91,8 @@
 
     /// A started statement has ended and its slot is free.
     void finished(WorkId id, TimePoint now);
+    /// A started statement was given up: its slot is free, and its time says nothing about the service.
+    void abandoned(WorkId id, TimePoint now);
 
     /// Takes waiting work out; false if it is not waiting.
     bool cancel(WorkId id);
@@ -166,6 +168,7 @@
 
     Duration backlogAhead(Rank rank) const;
     Duration meanService(Rank rank) const;
+    Duration leastService(Rank rank) const;
     double usedSeconds(Rank rank, TimePoint now) const;
     bool mayStart(Rank rank, TimePoint now, std::size_t freeConnections) const;
     bool leavesRoomFor(Rank urgent, TimePoint now) const;
--- a/decisions/include/rattanbeam/decisions/session/fleetrecords.h
+++ b/decisions/include/rattanbeam/decisions/session/fleetrecords.h
@@ -90,6 +90,9 @@
     MemberId primary;
     /// Names and incarnations (`name/incarnation`) of the instances that hold leases.
     std::vector<std::string> homes;
+    /// Term in which the primary leads; the one before it while a change is under way. A member that leads an earlier term
+    /// was replaced.
+    std::uint64_t term = 0;
 
     auto operator<=>(const TermRecord &) const = default;
 };
--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -261,7 +261,10 @@
     void setStage(Change stage, TimePoint until);
     bool sendMaintenance(Member &member, CommandKind kind, Term term, TimePoint now);
     void resumeFenced(TimePoint now);
-    std::optional<MemberId> mostAdvanced() const;
+    std::optional<MemberId> mostAdvanced(TimePoint now) const;
+    bool isWholeGroupSeen() const;
+    bool leadsAfterChange(const ReplicationStatus &status) const;
+    Term knownTerm(const MemberId &member) const;
     static std::string_view changeName(Change stage);
 
     ServiceName m_service;
@@ -291,6 +294,10 @@
     std::deque<AwaitingEvidence> m_awaiting;
     PrimaryChange m_change;
     TimePoint m_unfitUntil = longAgo;
+    TimePoint m_fencedSince = longAgo;
+    /// Since when no member of the latest term could be found to lead.
+    TimePoint m_noCandidateSince = longAgo;
+    Term m_highestLedTerm = 0;
 };
 
 } // namespace rattanbeam::decisions::session
--- a/decisions/src/rankqueue.cpp
+++ b/decisions/src/rankqueue.cpp
@@ -47,7 +47,7 @@
     if (isFull(work.rank, now, work.startBy) && !makeRoom(work, now)) {
         return Outcome::refusal(ErrorCode::QueueFull, expectedStart(work.rank, now));
     }
-    if (work.deadline < now + meanService(work.rank)) {
+    if (work.deadline < now + leastService(work.rank)) {
         return Outcome::refusal(ErrorCode::DeadlineUnreachable);
     }
     state.waiting[work.id] = work;
@@ -106,6 +106,12 @@
     return decisions;
 }
 
+/// What work is sure to need. An idle member takes any work, so that one slow spell cannot shut it out for good.
+Duration RankQueue::leastService(Rank rank) const
+{
+    return m_running.empty() ? Duration::zero() : meanService(rank);
+}
+
 void RankQueue::finished(WorkId id, TimePoint now)
 {
     const auto found = m_running.find(id);
@@ -114,9 +120,19 @@
     }
     RankState &state = m_ranks[found->second.rank];
     const double seconds = secondsBetween(found->second.startedAt, now);
-    state.used.add(seconds, now);
     state.meanServiceSeconds
         = state.meanServiceSeconds == 0 ? seconds : state.meanServiceSeconds + serviceSmoothing * (seconds - state.meanServiceSeconds);
+    abandoned(id, now);
+}
+
+void RankQueue::abandoned(WorkId id, TimePoint now)
+{
+    const auto found = m_running.find(id);
+    if (found == m_running.end()) {
+        return;
+    }
+    RankState &state = m_ranks[found->second.rank];
+    state.used.add(secondsBetween(found->second.startedAt, now), now);
     --state.running;
     if (!found->second.customer.pinned) {
         releaseConnection(found->second.customer.customer);
@@ -294,7 +310,7 @@
 {
     for (const Rank rank : allRanks) {
         RankState &state = m_ranks[rank];
-        const TimePoint mustStartBy = now + meanService(rank);
+        const TimePoint mustStartBy = now + leastService(rank);
         while (!state.byDeadline.empty() && state.byDeadline.begin()->deadline < mustStartBy) {
             const WorkId id = state.byDeadline.begin()->id;
             remove(state, id);
--- a/decisions/src/session/grouphomefailover.cpp
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -20,6 +20,7 @@
 constexpr Duration orderEvidence = 400ms; // oldest sight of the own term that allows an order
 constexpr Duration leadPoll = 40ms;
 constexpr Duration resumePause = 500ms;
+constexpr Duration lastResortAfter = 5000ms;
 constexpr Duration foreignChangeLimit = 2500ms; // after this another home's change of primary is taken over
 
 std::string nameOf(const std::string &home)
@@ -222,6 +223,7 @@
     const bool isOwnLateWrite = m_change.stage == Change::None && isNewer && record->primary.isEmpty() && !record->homes.empty()
                                 && record->homes.front() == m_self;
     if (isOwnChange || isOwnLateWrite) {
+        m_change.fromTerm = std::max<Term>(m_change.fromTerm, record->term);
         m_change.token = revision;
         fenceReplicas(now);
     } else if (m_change.stage != Change::None && isNewer) {
@@ -325,7 +327,7 @@
         {"primary-suspected", true, {{"service", m_service.text()}, {"member", m_primary.text()}, {"cause", std::string(cause)}}});
     m_change = {};
     m_change.from = m_primary;
-    m_change.fromTerm = member == m_members.end() ? 0 : member->second.applied.term;
+    m_change.fromTerm = knownTerm(m_primary);
     m_change.startedAt = now;
     setStage(Change::AskingPeers, now + m_limits.peersTimeout);
     if (cause == "says-replica" || cause == "read-only" || cause == "gone") {
@@ -391,6 +393,7 @@
     record.service = m_service;
     record.generation = m_term ? m_term->generation + 1 : 1;
     record.homes.push_back(m_self);
+    record.term = std::max<Term>(m_change.fromTerm, m_term ? m_term->term : 0);
     m_change.awaitedHomes.clear();
     if (m_term) {
         for (const std::string &home : m_term->homes) {
@@ -406,7 +409,6 @@
 
 void GroupHome::fenceReplicas(TimePoint now)
 {
-    m_change.leasesUntil = now + m_limits.leaseLength + m_limits.leaseMargin;
     for (const std::string &home : m_change.awaitedHomes) {
         m_effects.askToYield(home, m_term->generation);
     }
@@ -433,7 +435,7 @@
         }
         return;
     }
-    if (status.isPrimary && status.term > m_change.fromTerm) {
+    if (status.isPrimary && status.term >= m_change.fromTerm && m_change.from.isEmpty()) {
         // It leads already: an earlier promotion was not published, or none took effect. The latest term goes first.
         m_change.fenced[id] = {status.term, UINT64_MAX};
         m_change.awaitedFences.erase(id);
@@ -456,13 +458,44 @@
     }
 }
 
-std::optional<MemberId> GroupHome::mostAdvanced() const
+/// The latest term that `member` is known to have led.
+Term GroupHome::knownTerm(const MemberId &member) const
+{
+    const auto found = m_members.find(member);
+    const Term applied = found == m_members.end() ? 0 : found->second.applied.term;
+    return std::max<Term>(applied, m_term ? m_term->term : 0);
+}
+
+/// A member that leads an earlier term was replaced, and its word says nothing about a new promotion.
+bool GroupHome::leadsAfterChange(const ReplicationStatus &status) const
+{
+    if (!status.isPrimary || status.term < m_highestLedTerm) {
+        return false;
+    }
+    const bool mayStay = m_change.from.isEmpty() && isWholeGroupSeen();
+    return status.term > m_change.fromTerm || (mayStay && status.term == m_change.fromTerm);
+}
+
+/// Whether no member can lead a later term without this change knowing it.
+bool GroupHome::isWholeGroupSeen() const
+{
+    return std::all_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
+        return !entry.second.isRegistered || m_change.fenced.contains(entry.first);
+    });
+}
+
+/// One that has not heard of the latest term lacks all of its commits: it is the last resort.
+std::optional<MemberId> GroupHome::mostAdvanced(TimePoint now) const
 {
+    const bool isLastResort = m_noCandidateSince != longAgo && now - m_noCandidateSince > lastResortAfter;
     std::optional<MemberId> best;
     LogPosition highest;
     for (const auto &[id, received] : m_change.fenced) {
         const auto member = m_members.find(id);
-        const bool isFit = member != m_members.end() && member->second.health == Health::Up && !member->second.record.isLeaving;
+        const bool isUp = member != m_members.end() && member->second.health == Health::Up && !member->second.record.isLeaving;
+        const bool isKnown = isUp && member->second.status;
+        const bool isStaying = isKnown && member->second.status->isPrimary && !leadsAfterChange(*member->second.status);
+        const bool isFit = isKnown && !isStaying && (member->second.status->term >= m_change.fromTerm || isLastResort);
         if (isFit && (!best || received > highest)) {
             best = id;
             highest = received;
@@ -473,8 +506,9 @@
 
 void GroupHome::chooseCandidate(TimePoint now)
 {
-    const auto best = mostAdvanced();
+    const auto best = mostAdvanced(now);
     if (!best) {
+        m_noCandidateSince = m_noCandidateSince == longAgo ? now : m_noCandidateSince;
         abandonChange("no-candidate", now);
         return;
     }
@@ -488,6 +522,8 @@
                        {"candidate", best->text()},
                        {"fenced", std::to_string(m_change.fenced.size())},
                        {"lost_at_most", std::to_string(last > received ? last.position - received.position : 0)}}});
+    // A lease may rest on the candidate's own word until it was fenced.
+    m_change.leasesUntil = now + m_limits.leaseLength + m_limits.leaseMargin;
     setStage(Change::AwaitingLeases, m_change.leasesUntil);
     advanceChange(now);
 }
@@ -542,7 +578,9 @@
 void GroupHome::primaryLeads(TimePoint now)
 {
     m_primary = m_change.candidate;
+    m_noCandidateSince = longAgo;
     m_term->primary = m_primary;
+    m_term->term = m_members.at(m_primary).status->term;
     m_effects.report({"primary-changed",
                       false,
                       {{"service", m_service.text()},
@@ -628,6 +666,7 @@
     const bool isForeignStuck = m_term && m_term->primary.isEmpty() && now - m_change.startedAt > foreignChangeLimit;
     if (isForeignStuck) {
         m_change = {};
+        m_change.fromTerm = m_term->term;
         m_change.startedAt = now;
         beginTermWrite(now);
     } else if (isDown && !m_primary.isEmpty() && now - m_change.startedAt > suspicionPause && now >= m_unfitUntil
@@ -639,11 +678,28 @@
     if (m_change.stage != Change::None || !m_term || m_term->primary.isEmpty() || now - m_change.startedAt < resumePause) {
         return;
     }
-    for (auto &[id, each] : m_members) {
-        const bool isFenced = each.status && each.status->fencedAt != 0 && id != m_primary && each.health == Health::Up;
-        if (isFenced && sendMaintenance(each, CommandKind::Resume, 0, now)) {
-            m_change.startedAt = now;
-        }
+    const bool hasFenced = std::any_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
+        return entry.first != m_primary && entry.second.health == Health::Up && entry.second.status && entry.second.status->fencedAt != 0;
+    });
+    if (!hasFenced) {
+        m_fencedSince = now;
+        return;
+    }
+    // Only the home that made the present generation may lift its fences: another's may belong to a change under way.
+    const bool isOwner = !m_term->homes.empty() && m_term->homes.front() == m_self;
+    if (isOwner && now - m_lease.lastStoreRead() < orderEvidence) {
+        resumeFenced(now);
+        m_change.startedAt = now;
+    } else if (isOwner && now - m_termReadAt > termReadPause) {
+        m_termReadAt = now;
+        m_effects.readTerm();
+    } else if (!isOwner && m_isFirst && now - m_fencedSince > foreignChangeLimit) {
+        // Whoever fenced it is gone: a generation of its own, in which the present primary stays.
+        m_fencedSince = now;
+        m_change = {};
+        m_change.fromTerm = m_term->term;
+        m_change.startedAt = now;
+        beginTermWrite(now);
     }
 }
 
--- a/decisions/src/session/grouphomemembers.cpp
+++ b/decisions/src/session/grouphomemembers.cpp
@@ -228,7 +228,7 @@
         }
     }
     if (dropped.work && m_work.contains(*dropped.work)) {
-        member.queue.finished(*dropped.work, now);
+        member.queue.abandoned(*dropped.work, now);
         workLost(*dropped.work, reason, now);
     }
 }
@@ -523,6 +523,7 @@
                            {"lag_ms", std::to_string(status.lagMs)}}});
     }
     member.status = status;
+    m_highestLedTerm = std::max({m_highestLedTerm, status.term, status.received.term});
     m_highestTerm = std::max({m_highestTerm, status.term, status.received.term, status.fencedAt});
     const MemberId id = member.record.id;
     if (m_change.stage == Change::Fencing) {
@@ -530,7 +531,7 @@
         return;
     }
     if (m_change.stage == Change::AwaitingLead && id == m_change.candidate) {
-        if (status.isPrimary) {
+        if (leadsAfterChange(status)) {
             primaryLeads(now);
         }
         return;
--- a/decisions/test/rankqueue_test.cpp
+++ b/decisions/test/rankqueue_test.cpp
@@ -304,4 +304,23 @@
     });
 }
 
+TEST_CASE("Statements that were given up do not shut a queue for good", "[rankqueue]")
+{
+    QueueLimits limits;
+    limits.slots = 1;
+    RankQueue queue(limits);
+    TimePoint now{std::chrono::seconds(100)};
+    for (WorkId id = 1; id <= 30; ++id) {
+        QueuedWork work;
+        work.id = id;
+        work.rank = Rank::Urgent;
+        work.customer = CustomerId("tiza");
+        work.deadline = now + std::chrono::milliseconds(800);
+        REQUIRE_FALSE(queue.offer(work, now).has_value());
+        REQUIRE(queue.advance(now, 1).size() == 1);
+        now += std::chrono::seconds(2);
+        id % 2 == 0 ? queue.abandoned(id, now) : queue.finished(id, now);
+    }
+}
+
 } // namespace rattanbeam::decisions::test
--- a/sessions/src/internal/directory.cpp
+++ b/sessions/src/internal/directory.cpp
@@ -362,6 +362,7 @@
         for (const std::string &home : term.homes) {
             each->add_homes(home);
         }
+        each->set_term(term.term);
         each->set_revision(record.revision);
     }
     return snapshot;
@@ -411,7 +412,8 @@
         const TermRecord term{ServiceName(each.service()),
                               each.generation(),
                               MemberId(each.primary()),
-                              std::vector<std::string>(each.homes().begin(), each.homes().end())};
+                              std::vector<std::string>(each.homes().begin(), each.homes().end()),
+                              each.term()};
         apply(m_terms, {each.service(), each.revision(), false, term}, longBefore);
     }
     m_members.isKnown = true;
