A change that is taken over waits until orders of the one before have had their time

Ruled out: leases (both homes had yielded), watches (term seen within 10 ms). Change: the first record keeps the term; an unknown bound says nothing; a staying primary needs a look at the whole group 2 s after the change began; takeover after 4.5 s, longer than fencing, leases, order and promotion together.

--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -170,6 +170,8 @@
     struct PrimaryChange {
         Change stage = Change::None;
         bool isPlanned = false;
+        /// Without a primary to replace: orders of an earlier change have had their time.
+        bool isSettled = false;
         MemberId from;
         Term fromTerm = 0;
         MemberId candidate;
@@ -253,6 +255,7 @@
     void advanceChange(TimePoint now);
     void beginTermWrite(TimePoint now);
     void fenceReplicas(TimePoint now);
+    void awaitFences();
     void memberSeenWhileFencing(const Member &member, const ReplicationStatus &status, TimePoint now);
     void chooseCandidate(TimePoint now);
     void orderIfNewest(TimePoint now);
--- a/decisions/src/session/grouphomefailover.cpp
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -20,8 +20,9 @@
 constexpr Duration orderEvidence = 400ms; // oldest sight of the own term that allows an order
 constexpr Duration leadPoll = 40ms;
 constexpr Duration resumePause = 500ms;
+constexpr Duration settleTime = 2000ms; // longest call to the platform and the promotion that it may have begun
 constexpr Duration lastResortAfter = 5000ms;
-constexpr Duration foreignChangeLimit = 2500ms; // after this another home's change of primary is taken over
+constexpr Duration foreignChangeLimit = 4500ms; // after this another home's change of primary is taken over
 
 std::string nameOf(const std::string &home)
 {
@@ -186,6 +187,7 @@
         record.generation = 1;
         record.primary = first->first;
     }
+    record.term = std::max(record.term, knownTerm(record.primary));
     record.homes.push_back(m_self);
     m_isWritingTerm = true;
     m_termWriteAt = now;
@@ -222,6 +224,10 @@
     m_lease.storeRead(record->generation, isListed, startedAt);
     const bool isOwnLateWrite = m_change.stage == Change::None && isNewer && record->primary.isEmpty() && !record->homes.empty()
                                 && record->homes.front() == m_self;
+    if (isOwnLateWrite) {
+        m_change = {};
+        m_change.startedAt = now;
+    }
     if (isOwnChange || isOwnLateWrite) {
         m_change.fromTerm = std::max<Term>(m_change.fromTerm, record->term);
         m_change.token = revision;
@@ -416,6 +422,12 @@
     m_change.fenced.clear();
     setStage(Change::Fencing, now + fenceTimeout);
     m_change.finalPosition.reset();
+    awaitFences();
+    advanceChange(now);
+}
+
+void GroupHome::awaitFences()
+{
     for (auto &[id, member] : m_members) {
         const bool isCandidate = id != m_change.from && member.isRegistered && !member.record.isLeaving && member.health != Health::Down;
         if (isCandidate) {
@@ -423,7 +435,6 @@
             member.statusSentAt = longAgo;
         }
     }
-    advanceChange(now);
 }
 
 void GroupHome::memberSeenWhileFencing(const Member &member, const ReplicationStatus &status, TimePoint now)
@@ -472,8 +483,9 @@
     if (!status.isPrimary || status.term < m_highestLedTerm) {
         return false;
     }
-    const bool mayStay = m_change.from.isEmpty() && isWholeGroupSeen();
-    return status.term > m_change.fromTerm || (mayStay && status.term == m_change.fromTerm);
+    // A bound that is not known says nothing, so that the leader counts as one that stayed.
+    const bool isNewTerm = m_change.fromTerm != 0 && status.term > m_change.fromTerm;
+    return isNewTerm || (m_change.from.isEmpty() && m_change.isSettled && isWholeGroupSeen());
 }
 
 /// Whether no member can lead a later term without this change knowing it.
@@ -506,6 +518,14 @@
 
 void GroupHome::chooseCandidate(TimePoint now)
 {
+    if (m_change.from.isEmpty() && !m_change.isSettled) {
+        // An order of whoever began the change before may still take effect: all members are looked at once more after that.
+        m_change.isSettled = now - m_change.startedAt >= settleTime;
+        m_change.fenced.clear();
+        awaitFences();
+        m_change.stageUntil = now + fenceTimeout;
+        return;
+    }
     const auto best = mostAdvanced(now);
     if (!best) {
         m_noCandidateSince = m_noCandidateSince == longAgo ? now : m_noCandidateSince;
