--- a/decisions/test/session/groupschedule.h
+++ b/decisions/test/session/groupschedule.h
@@ -222,6 +222,7 @@
     std::vector<MemberRecord> records() const
     {
         std::vector<MemberRecord> made;
+        made.reserve(memberCount);
         for (int i = 0; i < memberCount; ++i) {
             made.push_back({memberId(i), ServiceName("orders"), "x", FailureDomain("a"), 2, false, i == 0, 1});
         }
--- a/kernel/test/boundedlog_test.cpp
+++ b/kernel/test/boundedlog_test.cpp
@@ -69,7 +69,7 @@
     for (int i = 0; i < 50; ++i) {
         LogEvent("many").with("number", i);
     }
-    LogEvent("important", LogLevel::Warning);
+    LogEvent("important", LogLevel::Warning).with("level", "warning");
     const std::string text = output.read();
     startBoundedLog(LogLevel::Info, "", 1'000'000);
     std::size_t lines = 0;
