--- a/systemtests/include/rattanbeam/systemtests/process.h
+++ b/systemtests/include/rattanbeam/systemtests/process.h
@@ -16,8 +16,15 @@
 class Process
 {
 public:
-    /// Starts the program and waits until its log tells the port that it listens on.
-    Process(const std::string &program, const std::vector<std::string> &arguments, std::string logFile);
+    enum class Start {
+        UntilListening, ///< Waits until the program's log tells the port that it listens on.
+        AtOnce,
+    };
+
+    Process(const std::string &program,
+            const std::vector<std::string> &arguments,
+            std::string logFile,
+            Start start = Start::UntilListening);
     /// Runs a program to its end; returns its exit code.
     static int run(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile);
     Process(const Process &) = delete;
@@ -33,6 +40,7 @@
         return m_pid;
     }
     void kill(int signal);
+    bool isRunning();
     /// Exit code, or -1 when it has not ended within `limit`, or was ended by a signal.
     int waitForExit(std::chrono::seconds limit);
     std::string log() const;
--- a/systemtests/src/process.cpp
+++ b/systemtests/src/process.cpp
@@ -37,9 +37,12 @@
 
 } // namespace
 
-Process::Process(const std::string &program, const std::vector<std::string> &arguments, std::string logFile)
+Process::Process(const std::string &program, const std::vector<std::string> &arguments, std::string logFile, Start start)
     : m_logFile(std::move(logFile)), m_pid(spawn(program, arguments, m_logFile))
 {
+    if (start == Start::AtOnce) {
+        return;
+    }
     for (int tries = 0; tries < 400; ++tries) {
         const std::string text = log();
         const auto at = text.find("port=");
@@ -75,6 +78,15 @@
     }
 }
 
+bool Process::isRunning()
+{
+    int status = 0;
+    if (m_pid > 0 && waitpid(m_pid, &status, WNOHANG) == m_pid) {
+        m_pid = -1;
+    }
+    return m_pid > 0;
+}
+
 int Process::waitForExit(std::chrono::seconds limit)
 {
     const auto until = std::chrono::steady_clock::now() + limit;
--- /dev/null
+++ b/systemtests/src/soak/soakfleet.cpp
@@ -0,0 +1,479 @@
+#include "rattanbeam/systemtests/soak/soakfleet.h"
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <set>
+
+namespace rattanbeam::systemtests::soak
+{
+
+using boost::asio::ip::tcp;
+using standins::sessions::MemberServer;
+using standins::sessions::RunCommit;
+using standins::sessions::RunStatement;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string service = "orders-db";
+constexpr std::chrono::milliseconds tickInterval = 5ms;
+constexpr std::chrono::milliseconds startTime = 4s; // until clients begin
+constexpr std::chrono::milliseconds registrationLapse = 3600ms;
+constexpr std::chrono::seconds settleLimit = 60s;
+
+std::string freeAddress(boost::asio::io_context &context)
+{
+    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+std::vector<SoakRoute> routes()
+{
+    return {{"orders", Freshness::Latest, 0ms, 0, 900, 150},
+            {"stock", Freshness::ReadYourWrites, 2500ms, 1, 900, 250},
+            {"lists", Freshness::BoundedAge, 1500ms, 2, 1500, 800}};
+}
+
+const char *typeName(Freshness freshness)
+{
+    return freshness == Freshness::Latest ? "primary" : freshness == Freshness::BoundedAge ? "bounded_stale" : "read_your_writes";
+}
+
+std::uint64_t unixMs()
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+}
+
+} // namespace
+
+SoakFleet::SoakFleet(const SoakOptions &options)
+    : m_options(options)
+    , m_choices(options.seed)
+    , m_group({"m-1", "m-2", "m-3"})
+    , m_auditor(m_group)
+    , m_store(m_context)
+    , m_promotions(m_context,
+                   [this](const auto &question, const auto &answer) {
+                       answerPromotion(question, answer);
+                   })
+    , m_world{m_context, m_auditor, m_choices, routes(), {}, {}, {}}
+    , m_startedAt(Clock::now())
+    , m_nextFaultAt(m_startedAt + startTime + 1s)
+{
+    std::filesystem::create_directories(m_options.directory);
+    for (int i = 1; i <= 3; ++i) {
+        const std::string id = "m-" + std::to_string(i);
+        Member &member = m_members[id];
+        member.domain = std::string(1, static_cast<char>('a' + i - 1));
+        member.born = unixMs();
+        member.server = std::make_unique<MemberServer>(m_context,
+                                                       service,
+                                                       id,
+                                                       m_group,
+                                                       standins::sessions::MemberServerEvents{[this](const RunStatement &run) {
+                                                                                                  m_auditor.ran(run);
+                                                                                              },
+                                                                                              [this](const RunCommit &commit) {
+                                                                                                  m_auditor.committed(commit);
+                                                                                              }});
+    }
+    putConfiguration();
+    registerMembers();
+    for (const char *name : {"a-1", "a-2", "b-1", "b-2", "c-1", "c-2"}) {
+        Instance &instance = m_instances.emplace_back();
+        instance.name = name;
+        instance.domain = std::string(1, name[0]);
+        instance.front = freeAddress(m_context);
+        instance.storeDoor = m_store.addDoor();
+        m_world.fronts.push_back(instance.front);
+        writeSettings(instance);
+    }
+    m_world.isStoppingInOrder = [this](const std::string &front) {
+        return std::any_of(m_instances.begin(), m_instances.end(), [&](const Instance &instance) {
+            return instance.front == front && instance.isStopping && !instance.isDisturbed && m_undo.empty();
+        });
+    };
+}
+
+SoakFleet::~SoakFleet() = default;
+
+void SoakFleet::writeSettings(Instance &instance)
+{
+    instance.settingsFile = m_options.directory + '/' + instance.name + ".ini";
+    std::ofstream(instance.settingsFile) << "[interface]\nkind = sessions\n[instance]\nname = " << instance.name
+                                         << "\ndomain = " << instance.domain << "\nip = 127.0.0.1\n[listen]\nfront = " << instance.front
+                                         << "\nreadiness = " << freeAddress(m_context) << "\npeers = " << freeAddress(m_context)
+                                         << "\n[platform]\nstore = " << m_store.address(instance.storeDoor)
+                                         << "\npromotions = " << m_promotions.address()
+                                         << "\n[limits]\ngrace = 6s\nconfiguration-bound = 3s\n[log]\nlines-per-second = 5000\n";
+}
+
+void SoakFleet::startInstance(Instance &instance)
+{
+    instance.process = std::make_unique<Process>(m_options.daemon,
+                                                 std::vector<std::string>{"--config", instance.settingsFile},
+                                                 m_options.directory + '/' + instance.name + ".log",
+                                                 Process::Start::AtOnce);
+    instance.isStopping = false;
+    instance.restartAt = Clock::time_point::max();
+}
+
+int SoakFleet::pick(int least, int most)
+{
+    return std::uniform_int_distribution<int>(least, most)(m_choices);
+}
+
+void SoakFleet::note(const std::string &fault)
+{
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_startedAt).count();
+    m_faults.push_back("at_ms=" + std::to_string(ms) + " unix_ms=" + std::to_string(unixMs()) + ' ' + fault);
+}
+
+void SoakFleet::putConfiguration()
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const SoakRoute &route : m_world.routes) {
+        list.push_back({{"host", route.database},
+                        {"service", service},
+                        {"type", typeName(route.freshness)},
+                        {"priority", route.rank},
+                        {"timeoutMs", route.rank == 0 ? m_timeoutMs : route.timeoutMs},
+                        {"objectiveMs", route.objectiveMs},
+                        {"maxStalenessMs", route.stalenessLimit.count()}});
+    }
+    m_version += static_cast<std::uint64_t>(pick(1, 5));
+    m_store.put("config",
+                "main",
+                {{"version", m_version},
+                 {"routes", list},
+                 {"services", {{{"name", service}, {"maxConns", 16}}}},
+                 {"limits", {{"txIdleMs", 3000}}}});
+}
+
+/// Members write what they are when it changes; the entry of a silent one lapses.
+void SoakFleet::registerMembers()
+{
+    for (auto &[id, member] : m_members) {
+        if (!member.isUp) {
+            if (Clock::now() >= member.lapsesAt && !member.written.empty()) {
+                m_store.remove("servers", id);
+                member.written.clear();
+            }
+            continue;
+        }
+        const nlohmann::json spec = {{"service", service},
+                                     {"address", member.server->address()},
+                                     {"zone", member.domain},
+                                     {"version", "1"},
+                                     {"capacity", 2},
+                                     {"state", member.isLeaving ? "draining" : "ready"},
+                                     {"coldLeftMs", 0},
+                                     {"sequence", 1},
+                                     {"born", member.born},
+                                     {"dbRole", m_group.member(id).isPrimary ? "primary" : "replica"}};
+        if (spec.dump() != member.written) {
+            member.written = spec.dump();
+            m_store.put("servers", id, spec);
+        }
+    }
+}
+
+void SoakFleet::answerPromotion(const standins::sessions::HttpQuestion &question, const standins::sessions::HttpServer::Answer &answer)
+{
+    if (m_arePromotionsDown) {
+        answer({503, nullptr});
+        return;
+    }
+    const bool isDone = question.body.is_object() && m_group.promote(question.body.value("id", ""), Clock::now());
+    note("promotion id=" + question.body.value("id", "") + " accepted=" + (isDone ? "true" : "false"));
+    answer({isDone ? 200U : 409U, nullptr});
+}
+
+void SoakFleet::tick()
+{
+    m_group.advance(Clock::now());
+    registerMembers();
+    keepInstances();
+    const auto due = std::partition(m_undo.begin(), m_undo.end(), [](const auto &entry) {
+        return entry.first > Clock::now();
+    });
+    std::vector<std::pair<Clock::time_point, Undo>> over(std::make_move_iterator(due), std::make_move_iterator(m_undo.end()));
+    m_undo.erase(due, m_undo.end());
+    for (const auto &[at, undo] : over) {
+        undo();
+    }
+    constexpr std::size_t mostAtOnce = 3;
+    if (!m_isHealing && Clock::now() >= m_nextFaultAt && m_undo.size() < mostAtOnce) {
+        m_nextFaultAt = Clock::now() + std::chrono::milliseconds(pick(300, 2500));
+        beginFault();
+    }
+}
+
+void SoakFleet::keepInstances()
+{
+    for (Instance &instance : m_instances) {
+        if (instance.process && !instance.process->isRunning()) {
+            if (!instance.isStopping && instance.restartAt == Clock::time_point::max()) {
+                m_faults.push_back("exit-of-its-own instance=" + instance.name);
+            }
+            instance.process.reset();
+            if (instance.restartAt == Clock::time_point::max()) {
+                instance.restartAt = Clock::now() + 300ms;
+            }
+        }
+        if (!instance.process && Clock::now() >= instance.restartAt) {
+            startInstance(instance);
+            instance.isDisturbed = false;
+        }
+    }
+}
+
+void SoakFleet::beginFault()
+{
+    const int durationMs = pick(300, 5000);
+    const int kind = pick(0, 19);
+    Undo undo;
+    if (kind < 7) {
+        undo = disturbInstance(kind, durationMs);
+    } else if (kind < 12) {
+        undo = disturbStore(kind - 7);
+    } else if (kind < 17) {
+        undo = disturbMember(kind - 12, durationMs);
+    } else {
+        undo = disturbGroup(kind - 17);
+    }
+    if (undo) {
+        m_undo.emplace_back(Clock::now() + std::chrono::milliseconds(durationMs), std::move(undo));
+    }
+}
+
+SoakFleet::Undo SoakFleet::disturbInstance(int kind, int durationMs)
+{
+    Instance &instance = m_instances[static_cast<std::size_t>(pick(0, static_cast<int>(m_instances.size()) - 1))];
+    if (!instance.process || instance.isStopping || instance.isDisturbed) {
+        return {};
+    }
+    if (kind < 3) {
+        note("kill instance=" + instance.name);
+        instance.isDisturbed = true;
+        instance.restartAt = Clock::now() + std::chrono::milliseconds(durationMs / 4);
+        instance.process->kill(SIGKILL);
+        return {};
+    }
+    if (kind < 5) {
+        note("freeze instance=" + instance.name + " ms=" + std::to_string(durationMs));
+        instance.isDisturbed = true;
+        instance.process->kill(SIGSTOP);
+        return [&instance] {
+            instance.isDisturbed = false;
+            if (instance.process) {
+                instance.process->kill(SIGCONT);
+            }
+        };
+    }
+    if (kind == 5) {
+        note("hangup instance=" + instance.name);
+        instance.process->kill(SIGHUP);
+        return {};
+    }
+    note("terminate instance=" + instance.name);
+    instance.isStopping = true;
+    instance.process->kill(SIGTERM);
+    return {};
+}
+
+SoakFleet::Undo SoakFleet::disturbStore(int kind)
+{
+    using standins::sessions::StoreMode;
+    if (kind == 4) {
+        note("store-forgets-history");
+        m_store.compact();
+        return {};
+    }
+    const std::vector<StoreMode> modes{StoreMode::Silent, StoreMode::Busy, StoreMode::Resets, StoreMode::LosesAnswers};
+    const StoreMode mode = modes[static_cast<std::size_t>(kind)];
+    std::vector<std::size_t> doors;
+    const bool isForAll = pick(0, 1) == 0;
+    for (const Instance &instance : m_instances) {
+        if (isForAll || pick(0, 2) == 0) {
+            doors.push_back(instance.storeDoor);
+        }
+    }
+    note("store mode=" + std::to_string(kind) + " doors=" + std::to_string(doors.size()));
+    for (const std::size_t door : doors) {
+        m_store.setMode(door, mode);
+    }
+    return [this, doors] {
+        for (const std::size_t door : doors) {
+            m_store.setMode(door, StoreMode::Serves);
+        }
+    };
+}
+
+SoakFleet::Undo SoakFleet::disturbMember(int kind, int durationMs)
+{
+    auto at = m_members.begin();
+    std::advance(at, pick(0, 2));
+    // The primary is what hurts most.
+    const std::string id = pick(0, 1) == 0 && !m_group.leader().empty() ? m_group.leader() : at->first;
+    Member &member = m_members.at(id);
+    const bool areOthersWell = std::all_of(m_members.begin(), m_members.end(), [](const auto &entry) {
+        return entry.second.isUp && !entry.second.server->faults().isSilent && !entry.second.isLeaving;
+    });
+    if (!areOthersWell) {
+        return {};
+    }
+    const std::string what = " member=" + id + " ms=" + std::to_string(durationMs);
+    if (kind == 0) {
+        note("member-crash" + what);
+        member.isUp = false;
+        member.lapsesAt = Clock::now() + registrationLapse;
+        m_group.setUp(id, false);
+        member.server->crash();
+        return [this, id, &member] {
+            member.isUp = true;
+            member.born = unixMs();
+            m_group.setUp(id, true);
+            member.server->start();
+        };
+    }
+    if (kind == 1) {
+        note("member-silent" + what);
+        member.server->faults().isSilent = true;
+        return [&member] {
+            member.server->faults().isSilent = false;
+            member.server->resetConnections();
+        };
+    }
+    if (kind == 2) {
+        note("member-slow" + what);
+        member.server->faults().slowness = 8;
+        return [&member] {
+            member.server->faults().slowness = 1;
+        };
+    }
+    if (kind == 3) {
+        note("member-connections" + what);
+        if (pick(0, 1) == 0) {
+            member.server->resetConnections();
+        } else {
+            member.server->silenceOldConnections();
+        }
+        return {};
+    }
+    note("member-leaving" + what);
+    member.isLeaving = true;
+    return [this, id, &member] {
+        member.isLeaving = false;
+        member.born = unixMs();
+        m_group.setUp(id, true);
+        member.server->resetConnections();
+    };
+}
+
+SoakFleet::Undo SoakFleet::disturbGroup(int kind)
+{
+    if (kind == 0) {
+        note("replicas-behind");
+        for (auto &[id, member] : m_members) {
+            m_group.member(id).lag = 1200ms;
+            m_group.member(id).isDeaf = pick(0, 2) == 0;
+        }
+        return [this] {
+            for (auto &[id, member] : m_members) {
+                m_group.member(id).lag = 20ms;
+                m_group.member(id).isDeaf = false;
+            }
+        };
+    }
+    if (kind == 1) {
+        note("answers-lost");
+        for (auto &[id, member] : m_members) {
+            member.server->faults().lostAnswers = 0.03;
+            member.server->faults().failures = 0.02;
+        }
+        return [this] {
+            for (auto &[id, member] : m_members) {
+                member.server->faults().lostAnswers = 0;
+                member.server->faults().failures = 0;
+            }
+        };
+    }
+    if (pick(0, 1) == 0) {
+        note("configuration-changes");
+        m_timeoutMs = static_cast<std::uint32_t>(pick(700, 1100));
+        putConfiguration();
+        return {};
+    }
+    note("promotions-down");
+    m_arePromotionsDown = true;
+    return [this] {
+        m_arePromotionsDown = false;
+    };
+}
+
+void SoakFleet::healAll()
+{
+    m_isHealing = true;
+    for (const auto &[at, undo] : std::exchange(m_undo, {})) {
+        undo();
+    }
+    note("healed");
+}
+
+void SoakFleet::runFor(std::chrono::milliseconds time)
+{
+    const auto until = Clock::now() + time;
+    while (Clock::now() < until) {
+        m_context.run_for(tickInterval);
+        m_context.restart();
+        tick();
+    }
+}
+
+/// Whether clients are answered again: successes of a second by far outnumber the rest.
+bool SoakFleet::isServedEverywhere()
+{
+    const SoakCounts before = m_world.counts;
+    runFor(1s);
+    const std::size_t succeeded = m_world.counts.succeeded - before.succeeded;
+    const std::size_t rest
+        = m_world.counts.refused + m_world.counts.inDoubt + m_world.counts.unanswered - before.refused - before.inDoubt - before.unanswered;
+    const bool areAllUp = std::all_of(m_instances.begin(), m_instances.end(), [](const Instance &instance) {
+        return instance.process && !instance.isStopping;
+    });
+    return areAllUp && succeeded > 100 && rest * 100 < succeeded;
+}
+
+SoakResult SoakFleet::run()
+{
+    for (Instance &instance : m_instances) {
+        startInstance(instance);
+    }
+    runFor(startTime);
+    for (int i = 0; i < m_options.clients; ++i) {
+        std::make_shared<SoakClient>(m_world)->start();
+    }
+    runFor(m_options.faultsFor);
+    healAll();
+    SoakResult result;
+    for (const auto until = Clock::now() + settleLimit; Clock::now() < until && !result.isServedAgain;) {
+        result.isServedAgain = isServedEverywhere();
+    }
+    m_world.isOver = true;
+    runFor(1s);
+    m_auditor.finish();
+    result.findings = m_auditor.findings();
+    result.counts = m_world.counts;
+    result.acknowledged = m_auditor.acknowledgedCommits();
+    result.lost = m_auditor.lostCommits();
+    result.storeCalls = m_store.calls();
+    result.faults = m_faults;
+    return result;
+}
+
+} // namespace rattanbeam::systemtests::soak
