--- a/decisions/include/rattanbeam/decisions/session/fleetrecords.h
+++ b/decisions/include/rattanbeam/decisions/session/fleetrecords.h
@@ -78,6 +78,8 @@
     FailureDomain domain;
     std::uint64_t incarnation = 0;
     bool isLeaving = false;
+    /// Its share of the processor, in thousandths of a core.
+    std::uint32_t processorMilli = 1000;
 
     auto operator<=>(const InstanceRecord &) const = default;
 };
--- a/sessions/include/rattanbeam/sessions/internal/directory.h
+++ b/sessions/include/rattanbeam/sessions/internal/directory.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "rattanbeam/decisions/session/relaytrust.h"
 #include "rattanbeam/sessions/eventloop.h"
 #include "rattanbeam/sessions/ports.h"
 
 #include "link.pb.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -15,11 +17,26 @@
 namespace rattanbeam::sessions::internal
 {
 
-/// What this instance knows of the fleet: configuration, members, instances and terms, followed in the store. A
+/// What a peer says of its own knowledge.
+struct PeerKnowledge {
+    std::string address;
+    /// In the same failure domain, where bytes cost nothing.
+    bool isNear = false;
+    std::uint64_t configurationVersion = 0;
+    std::uint64_t membersDigest = 0;
+    std::uint64_t instancesDigest = 0;
+    std::uint64_t termsDigest = 0;
+    /// When the store confirmed to it what it knows; none when it does not follow the store.
+    std::optional<TimePoint> confirmedAt;
+};
+
+/// What this instance knows of the fleet: configuration, members, instances and terms. Homes and relays follow the store; the
+/// others take changes from these while two of them hear from the store, and follow it by themselves otherwise. A
 /// configuration version never goes back; a record never goes back to an earlier revision.
 class Directory
 {
 public:
+    using SnapshotAsker = std::function<void(const std::string &address, const link::v1::SnapshotRequest &request)>;
     using TermListener
         = std::function<void(const ServiceName &, const std::optional<TermRecord> &, std::uint64_t revision, TimePoint startedAt)>;
 
@@ -36,15 +53,29 @@
     {
         m_termListener = std::move(listener);
     }
-    /// Takes in what a peer knows, while the store cannot be reached.
+    /// Called when parts of a peer's knowledge are wanted.
+    void onSnapshotNeeded(SnapshotAsker asker)
+    {
+        m_askForSnapshot = std::move(asker);
+    }
+    /// Takes in what a peer knows.
     void merge(const link::v1::Snapshot &snapshot);
-    link::v1::Snapshot snapshot() const;
-    /// A peer knows another configuration or other members: looks into the store if this instance may be behind.
-    void peerKnows(std::uint64_t configurationVersion, std::uint64_t membersDigest);
-    /// Short watches find a silent connection sooner; homes keep them, and the others learn from homes.
-    void setWatchesShort(bool isShort);
-    /// Equal for equal members.
-    std::uint64_t membersDigest() const;
+    /// The parts that are asked for; all when none is named.
+    link::v1::Snapshot snapshot(const link::v1::SnapshotRequest &request) const;
+    void peerKnows(const PeerKnowledge &peer);
+    /// The peer cannot be reached.
+    void peerLost(const std::string &address)
+    {
+        m_trust.forget(address);
+    }
+    /// What this instance tells peers of its knowledge.
+    void describe(link::v1::Pong &pong) const;
+    /// A relay follows the store for others, with short watches that find a silent connection soon.
+    void setRelay(bool isRelay);
+    /// This instance's own registration, as the store has just taken it.
+    void registered(const Record &record);
+    /// To be called often: follows the store again when peers no longer hear from it.
+    void tick();
     /// Reads the term record of one service now.
     void readTerm(const ServiceName &service);
 
@@ -83,15 +114,27 @@
         /// Counts watches; only the latest one's answer is used.
         std::uint64_t attempt = 0;
         bool isWatching = false;
+        /// Waits until another collection finds the store back.
+        bool isParked = false;
+        /// Of names and revisions; equal for equal records.
+        std::uint64_t digest = 0;
     };
 
     void list(Followed &followed);
     void watch(Followed &followed);
-    void restartWatches();
+    void watchEnded(Followed &followed, StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision);
+    void watchAfter(Followed &followed, decisions::Duration pause);
+    void confirm(const Followed &followed, TimePoint asOf);
+    void follow(Followed &followed);
+    void followAll();
     void listed(Followed &followed, const std::vector<Record> &records, std::uint64_t revision, TimePoint startedAt);
     void changed(Followed &followed, const std::vector<Record> &records);
     bool apply(Followed &followed, const Record &record, TimePoint startedAt);
-    void retry(Followed &followed, StoreOutcome outcome, bool isWatch);
+    void retry(Followed &followed, StoreOutcome outcome);
+    void updateFollowing();
+    void lookAgain(const PeerKnowledge &peer);
+    void takeFrom(const PeerKnowledge &peer);
+    static std::uint64_t digestOf(const Followed &followed);
     void storeAnswered(StoreOutcome outcome);
     std::chrono::milliseconds watchWait(Collection collection) const;
     void adoptConfiguration(const FleetConfiguration &configuration, const char *source);
@@ -99,15 +142,26 @@
     EventLoop &m_loop;
     RecordStore &m_store;
     std::optional<FleetConfiguration> m_configuration;
-    Followed m_configurations{Collection::Configuration, {}, 0, false, {}, 0, false};
-    Followed m_members{Collection::Members, {}, 0, false, {}, 0, false};
-    Followed m_instances{Collection::Instances, {}, 0, false, {}, 0, false};
-    Followed m_terms{Collection::Terms, {}, 0, false, {}, 0, false};
+    Followed m_configurations{.collection = Collection::Configuration};
+    Followed m_members{.collection = Collection::Members};
+    Followed m_instances{.collection = Collection::Instances};
+    Followed m_terms{.collection = Collection::Terms};
+    std::array<Followed *, 4> m_collections{&m_configurations, &m_members, &m_instances, &m_terms};
+    /// The collection that tries the store while it is away.
+    Followed *m_prober = nullptr;
+    decisions::session::RelayTrust m_trust;
+    bool m_isRelay = false;
+    bool m_isFollowing = true;
+    TimePoint m_storeConfirmedAt = decisions::longAgo;
     bool m_isStoreReachable = true;
     std::chrono::milliseconds m_configurationBound;
-    bool m_areWatchesShort = true;
     std::uint64_t m_peerDigest = 0;
     TimePoint m_peerLookAt = decisions::longAgo;
+    TimePoint m_agreedAt = decisions::longAgo;
+    TimePoint m_askedAt = decisions::longAgo;
+    /// Digests that were asked for last, by peer.
+    std::map<std::string, std::uint64_t> m_askedDigests;
+    SnapshotAsker m_askForSnapshot;
     std::function<void()> m_listener;
     TermListener m_termListener;
 };
--- a/sessions/include/rattanbeam/sessions/internal/entryservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/entryservice.h
@@ -39,7 +39,6 @@
     /// A home answered.
     void replied(const link::v1::StatementReply &reply);
     void linkLost(const std::string &address, const std::deque<link::v1::Frame> &unsent);
-    void fleetChanged();
     void tick();
     /// Closes sessions that rest between operations.
     void closeResting();
@@ -80,7 +79,6 @@
     void complete(std::uint64_t request, const Answer &answer, bool isOpen);
     void endTransactionAt(const std::string &home, SessionNumber session, std::uint64_t transaction);
     void homeLost(std::uint64_t request, bool isUnsent);
-    const std::vector<InstanceRecord> &order(const ServiceName &service);
     void logOutcome(const Pending &pending, const Answer &answer);
 
     EventLoop &m_loop;
@@ -93,7 +91,6 @@
     SessionNumber m_lastSession = 0;
     std::map<std::uint64_t, Pending> m_pending;
     std::uint64_t m_lastRequest = 0;
-    std::map<ServiceName, std::vector<InstanceRecord>> m_orders;
     std::map<std::pair<ServiceName, std::string>, TimePoint> m_unfitUntil;
     TimePoint m_logSecond = decisions::longAgo;
     std::uint32_t m_logLines = 0;
--- a/sessions/include/rattanbeam/sessions/internal/homeservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/homeservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanbeam/decisions/session/grouphome.h"
+#include "rattanbeam/decisions/session/homeplan.h"
 #include "rattanbeam/sessions/eventloop.h"
 #include "rattanbeam/sessions/internal/directory.h"
 #include "rattanbeam/sessions/internal/peerlinks.h"
@@ -40,13 +41,14 @@
     void fenceAnswered(const link::v1::FenceReply &reply);
 
     void fleetChanged();
-    bool isFirstHomeOfAny() const;
-    bool isAnyHomeElsewhere() const
+    /// The instances that may be home to a service, best first.
+    const HomeRanking &ranking(const ServiceName &service) const;
+    /// Instances that follow the store for the others.
+    const std::vector<InstanceRecord> &relays() const
     {
-        return !firstHomes().empty();
+        return m_relays;
     }
-    /// Addresses of the first homes of all services.
-    std::set<std::string> firstHomes() const;
+    bool isRelay() const;
     void termSeen(const ServiceName &service, const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt);
     void tick();
     void paused(decisions::Duration pause);
@@ -74,6 +76,7 @@
     Group *group(const ServiceName &service);
     void feedGroup(Group &group);
     bool isFirstHome(const ServiceName &service) const;
+    void planFleet();
     void askPeers(const ServiceName &service, const MemberId &member);
     void askToYield(const ServiceName &service, const std::string &home, std::uint64_t generation);
     void endInquiry(std::uint64_t number);
@@ -85,6 +88,8 @@
     PeerLinks &m_links;
     Ports &m_ports;
     bool m_isAway = false;
+    std::map<ServiceName, HomeRanking> m_plan;
+    std::vector<InstanceRecord> m_relays;
     std::map<ServiceName, std::unique_ptr<Group>> m_groups;
     std::map<RequestNumber, Reply> m_replies;
     RequestNumber m_lastRequest = 0;
@@ -94,7 +99,4 @@
     std::map<std::uint64_t, std::unique_ptr<MemberLink>> m_probes;
 };
 
-/// The instances that may be home to a service, best first.
-std::vector<InstanceRecord> homeOrder(const ServiceName &service, const std::vector<InstanceRecord> &instances);
-
 } // namespace rattanbeam::sessions::internal
--- a/sessions/include/rattanbeam/sessions/internal/peerlinks.h
+++ b/sessions/include/rattanbeam/sessions/internal/peerlinks.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -19,8 +20,8 @@
 public:
     /// `sent` frames may have been handled, `unsent` ones were not.
     using Lost = std::function<void(const std::string &address, const std::deque<Frame> &unsent)>;
-    /// A peer said what it knows of the fleet.
-    using Known = std::function<void(std::uint64_t configurationVersion, std::uint64_t membersDigest)>;
+    /// A peer answered a ping sent at `askedAt` with what it knows of the fleet.
+    using Known = std::function<void(const std::string &address, const link::v1::Pong &pong, decisions::TimePoint askedAt)>;
     using Arrived = std::function<void(const std::string &address, const Frame &frame)>;
 
     PeerLinks(EventLoop &loop, Arrived arrived, Lost lost, Known known);
@@ -31,6 +32,10 @@
     /// Whether a send now would be refused.
     bool isSuspect(const std::string &address) const;
     bool isLeaving(const std::string &address) const;
+    /// Since when no answer has come; none while the instance answers, or was never asked.
+    std::optional<decisions::TimePoint> unreachableSince(const std::string &address) const;
+    /// Opens a link, so that unreachableSince() tells something of it soon.
+    void look(const std::string &address);
     /// Keeps links to these instances, and looks for their answers, also while nothing is sent.
     void keep(const std::set<std::string> &addresses);
     /// To be called every few milliseconds.
@@ -45,10 +50,12 @@
         bool isLeaving = false;
         /// The last try failed: nothing is sent before the peer has answered again.
         bool isSuspect = false;
+        decisions::TimePoint suspectSince = decisions::longAgo;
         std::deque<Frame> unsent;
         std::uint64_t pingNumber = 0;
         decisions::TimePoint pingSentAt = decisions::longAgo;
         bool isPingOwed = false;
+        decisions::TimePoint heardAt = decisions::longAgo;
         decisions::TimePoint lastUsed = decisions::longAgo;
         decisions::TimePoint nextTryAt = decisions::longAgo;
         decisions::Duration backoff{};
@@ -58,6 +65,7 @@
 
     void open(const std::string &address, Link &link);
     void ping(Link &link);
+    static bool isPingDue(const Link &link, decisions::TimePoint now);
     void arrived(const std::string &address, std::uint64_t generation, const Frame &frame);
     void fail(const std::string &address, std::uint64_t generation, const char *cause);
 
--- a/sessions/include/rattanbeam/sessions/sessionsettings.h
+++ b/sessions/include/rattanbeam/sessions/sessionsettings.h
@@ -30,6 +30,8 @@
     std::chrono::milliseconds configurationBound{};
     /// Time from the request to stop until the process is killed.
     std::chrono::milliseconds grace{};
+    /// This process's share of the processor, in thousandths of a core.
+    std::uint32_t processorMilli = 1000;
     kernel::LogLevel logLevel = kernel::LogLevel::Info;
     /// Lines a second that the log may take, and as many again for warnings; requests that succeed take a tenth.
     std::uint32_t logLinesPerSecond = 0;
--- a/sessions/src/internal/directory.cpp
+++ b/sessions/src/internal/directory.cpp
@@ -21,10 +21,37 @@
 constexpr std::chrono::milliseconds plainWatchWait = 15s;
 constexpr std::chrono::milliseconds leastWatchWait = 500ms;
 constexpr std::chrono::milliseconds applySlack = 300ms; // between the end of a silent watch and the new configuration
+constexpr decisions::Duration relaySlack = 500ms; // beyond a relay's watch, before its knowledge counts as old
 constexpr decisions::Duration peerLookPause = 1500ms;
+constexpr decisions::Duration firstPause = 1000ms; // from a list to its watch, which peers may make needless
+constexpr decisions::Duration askPause = 400ms; // between requests for what peers know
+constexpr decisions::Duration disagreementLimit = 1000ms; // before a farther peer's difference counts
+constexpr decisions::Duration answerTime = 20ms; // a watch's answer may be this old when it comes
 constexpr decisions::Duration leastBackoff = 100ms;
 constexpr decisions::Duration mostBackoff = 800ms;
 
+/// Changes that come close together are taken by one call.
+decisions::Duration pauseAfterEvents(Collection collection, bool isRelay)
+{
+    switch (collection) {
+    case Collection::Configuration:
+        return {};
+    case Collection::Members:
+        return isRelay ? 20ms : 200ms;
+    case Collection::Instances:
+        return 400ms;
+    case Collection::Terms:
+        return isRelay ? 50ms : 400ms;
+    }
+    return {};
+}
+
+/// Half of the bound is left to the instances that hear of a change from a relay.
+std::chrono::milliseconds relayWatchWait(std::chrono::milliseconds bound)
+{
+    return std::max(leastWatchWait, bound / 2 - applySlack);
+}
+
 const char *collectionName(Collection collection)
 {
     switch (collection) {
@@ -55,53 +82,107 @@
 } // namespace
 
 Directory::Directory(EventLoop &loop, RecordStore &store, std::chrono::milliseconds configurationBound)
-    : m_loop(loop), m_store(store), m_configurationBound(configurationBound)
+    : m_loop(loop), m_store(store), m_trust(relayWatchWait(configurationBound) + relaySlack), m_configurationBound(configurationBound)
 {}
 
 std::chrono::milliseconds Directory::watchWait(Collection collection) const
 {
-    if (!m_areWatchesShort || collection == Collection::Instances || collection == Collection::Terms) {
-        return plainWatchWait;
+    switch (collection) {
+    case Collection::Configuration:
+        return m_isRelay ? relayWatchWait(m_configurationBound) : std::max(leastWatchWait, m_configurationBound - applySlack);
+    case Collection::Members:
+        return membersWatchWait;
+    case Collection::Instances:
+    case Collection::Terms:
+        break;
     }
-    return collection == Collection::Members ? membersWatchWait : std::max(leastWatchWait, m_configurationBound - applySlack);
+    return plainWatchWait;
 }
 
-void Directory::setWatchesShort(bool isShort)
+void Directory::setRelay(bool isRelay)
 {
-    if (std::exchange(m_areWatchesShort, isShort) == isShort || !isShort) {
+    if (std::exchange(m_isRelay, isRelay) != isRelay) {
+        updateFollowing();
+        if (isRelay && m_configurations.isWatching) {
+            watch(m_configurations); // for a shorter time
+        }
+    }
+}
+
+void Directory::tick()
+{
+    updateFollowing();
+}
+
+void Directory::updateFollowing()
+{
+    const bool mustFollow = m_isRelay || !isReady() || !m_trust.isCovered(EventLoop::now());
+    if (std::exchange(m_isFollowing, mustFollow) == mustFollow) {
         return;
     }
-    for (Followed *followed : {&m_configurations, &m_members}) {
-        if (followed->isWatching) {
-            watch(*followed);
-        }
+    LogEvent(mustFollow ? "store-followed" : "store-left-to-peers").with("relay", m_isRelay ? "true" : "false");
+    if (mustFollow) {
+        followAll();
     }
 }
 
-std::uint64_t Directory::membersDigest() const
+std::uint64_t Directory::digestOf(const Followed &followed)
 {
     std::uint64_t digest = 0;
-    for (const auto &[name, record] : m_members.records) {
+    for (const auto &[name, record] : followed.records) {
         digest ^= decisions::stableHash(name + '@' + std::to_string(record.revision));
     }
     return digest;
 }
 
-void Directory::peerKnows(std::uint64_t configurationVersion, std::uint64_t membersDigest)
+void Directory::describe(link::v1::Pong &pong) const
+{
+    if (!isReady()) {
+        return;
+    }
+    pong.set_configuration_version(m_configuration->version);
+    pong.set_members_digest(m_members.digest);
+    pong.set_instances_digest(m_instances.digest);
+    pong.set_terms_digest(m_terms.digest);
+    pong.set_follows_store(m_isFollowing && m_storeConfirmedAt != decisions::longAgo);
+    pong.set_store_age_ms(decisions::millisecondsUntil(EventLoop::now(), m_storeConfirmedAt));
+}
+
+void Directory::peerKnows(const PeerKnowledge &peer)
 {
+    if (peer.configurationVersion == 0) {
+        return; // it knows nothing yet, or only said that it leaves
+    }
+    if (peer.confirmedAt) {
+        m_trust.confirmed(peer.address, *peer.confirmedAt);
+    } else {
+        m_trust.forget(peer.address);
+    }
+    updateFollowing();
     if (!isReady()) {
         return;
     }
+    if (m_isFollowing) {
+        lookAgain(peer);
+    }
+    if (!m_isFollowing || !m_isStoreReachable) {
+        takeFrom(peer);
+    }
+}
+
+/// A peer knows another configuration or other members: this instance's own watch may have gone silent.
+void Directory::lookAgain(const PeerKnowledge &peer)
+{
     const TimePoint now = EventLoop::now();
-    const bool isBehind = configurationVersion > m_configuration->version;
+    const bool isBehind = peer.configurationVersion > m_configuration->version;
     // A difference that lasts over two looks is more than an event on its way.
-    const bool isDifferent = membersDigest != 0 && membersDigest != this->membersDigest() && membersDigest == m_peerDigest;
-    m_peerDigest = membersDigest;
+    const bool isDifferent = peer.membersDigest != m_members.digest && peer.membersDigest == m_peerDigest;
+    m_peerDigest = peer.membersDigest;
     if ((!isBehind && !isDifferent) || now - m_peerLookAt < peerLookPause) {
         return;
     }
     m_peerLookAt = now;
-    LogEvent("behind-a-peer").with("version", m_configuration->version).with("peer_version", configurationVersion);
+    LogEvent("behind-a-peer").with("version", m_configuration->version).with("peer_version", peer.configurationVersion);
     for (Followed *followed : {&m_configurations, &m_members}) {
         if (followed->isWatching && (isBehind || followed == &m_members)) {
             watch(*followed);
@@ -109,9 +190,45 @@
     }
 }
 
+/// Asks the peer for the parts in which it differs.
+void Directory::takeFrom(const PeerKnowledge &peer)
+{
+    const TimePoint now = EventLoop::now();
+    link::v1::SnapshotRequest request;
+    request.set_configuration(peer.configurationVersion > m_configuration->version);
+    request.set_members(peer.membersDigest != m_members.digest);
+    request.set_instances(peer.instancesDigest != m_instances.digest);
+    request.set_terms(peer.termsDigest != m_terms.digest);
+    const bool isDifferent = request.members() || request.instances() || request.terms();
+    if (!isDifferent) {
+        m_agreedAt = now;
+    }
+    const std::uint64_t digests = peer.membersDigest ^ (peer.instancesDigest * 3) ^ (peer.termsDigest * 5);
+    std::uint64_t &asked = m_askedDigests[peer.address];
+    // A peer that was asked already and still differs knows less.
+    const bool isUseful = isDifferent && asked != digests && (peer.isNear || now - m_agreedAt > disagreementLimit);
+    if (!request.configuration() && (!isUseful || now - m_askedAt < askPause)) {
+        return;
+    }
+    if (isUseful) {
+        asked = digests;
+        m_askedAt = now;
+    } else {
+        request.clear_members();
+        request.clear_instances();
+        request.clear_terms();
+    }
+    m_askForSnapshot(peer.address, request);
+}
+
+void Directory::registered(const Record &record)
+{
+    changed(m_instances, {record});
+}
+
 void Directory::start()
 {
-    for (Followed *followed : {&m_configurations, &m_members, &m_instances, &m_terms}) {
+    for (Followed *followed : m_collections) {
         list(*followed);
     }
 }
@@ -140,29 +257,55 @@
     const TimePoint startedAt = EventLoop::now();
     m_store.list(followed.collection,
                  [this, &followed, startedAt](StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision) {
-                     storeAnswered(outcome);
                      if (outcome != StoreOutcome::Done) {
-                         retry(followed, outcome, false);
+                         storeAnswered(outcome);
+                         retry(followed, outcome);
                          return;
                      }
                      followed.backoff = {};
+                     confirm(followed, startedAt);
                      listed(followed, records, revision, startedAt);
-                     watch(followed);
+                     storeAnswered(outcome);
+                     if (!followed.isWatching) {
+                         watchAfter(followed,
+                                    m_isRelay || followed.collection == Collection::Configuration ? decisions::Duration() : firstPause);
+                     }
                  });
 }
 
-/// Watches that began before the store went away may never end.
-void Directory::restartWatches()
+/// The store has shown all that it held at `asOf`.
+void Directory::confirm(const Followed &followed, TimePoint asOf)
 {
-    for (Followed *followed : {&m_configurations, &m_members, &m_instances, &m_terms}) {
-        if (followed->isKnown && followed->isWatching) {
-            watch(*followed);
-        }
+    if (followed.collection == Collection::Configuration) {
+        m_storeConfirmedAt = std::max(m_storeConfirmedAt, asOf);
+    }
+}
+
+void Directory::follow(Followed &followed)
+{
+    // A watch of a store that is away may hang for long; a list ends soon.
+    if (!followed.isKnown || !m_isStoreReachable) {
+        list(followed);
+    } else {
+        watch(followed);
+    }
+}
+
+/// Watches that began before the store went away may never end, so all begin anew.
+void Directory::followAll()
+{
+    for (Followed *followed : m_collections) {
+        followed->isParked = false;
+        follow(*followed);
     }
 }
 
 void Directory::watch(Followed &followed)
 {
+    if (!m_isFollowing) {
+        followed.isWatching = false;
+        return;
+    }
     followed.isWatching = true;
     const std::uint64_t attempt = ++followed.attempt;
     m_store.watch(followed.collection,
@@ -173,31 +316,63 @@
                           return; // another watch took its place
                       }
                       followed.isWatching = false;
-                      storeAnswered(outcome == StoreOutcome::HistoryLost ? StoreOutcome::Done : outcome);
-                      if (outcome != StoreOutcome::Done) {
-                          retry(followed, outcome, true);
-                          return;
-                      }
-                      followed.backoff = {};
-                      followed.revision = std::max(followed.revision, revision);
-                      changed(followed, records);
-                      watch(followed);
+                      watchEnded(followed, outcome, records, revision);
                   });
 }
 
-void Directory::retry(Followed &followed, StoreOutcome outcome, bool isWatch)
+void Directory::watchEnded(Followed &followed, StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision)
+{
+    if (outcome != StoreOutcome::Done) {
+        storeAnswered(outcome == StoreOutcome::HistoryLost ? StoreOutcome::Done : outcome);
+        retry(followed, outcome);
+        return;
+    }
+    followed.backoff = {};
+    followed.revision = std::max(followed.revision, revision);
+    confirm(followed, EventLoop::now() - answerTime);
+    changed(followed, records);
+    storeAnswered(outcome);
+    if (followed.isWatching) {
+        return; // the store is back, and all watches have begun anew
+    }
+    watchAfter(followed, records.empty() ? decisions::Duration() : pauseAfterEvents(followed.collection, m_isRelay));
+}
+
+void Directory::watchAfter(Followed &followed, decisions::Duration pause)
+{
+    if (pause == decisions::Duration::zero()) {
+        watch(followed);
+        return;
+    }
+    m_loop.after(pause, [this, &followed, attempt = followed.attempt] {
+        if (attempt == followed.attempt) {
+            watch(followed);
+        }
+    });
+}
+
+/// While the store is away one collection tries it for all.
+void Directory::retry(Followed &followed, StoreOutcome outcome)
 {
     if (outcome == StoreOutcome::HistoryLost) {
         LogEvent("history-lost").with("collection", collectionName(followed.collection)).with("revision", followed.revision);
         list(followed);
         return;
     }
+    if (m_prober != nullptr && m_prober != &followed) {
+        followed.isParked = true;
+        return;
+    }
+    m_prober = &followed;
     followed.backoff = std::clamp<decisions::Duration>(followed.backoff * 2, leastBackoff, mostBackoff);
-    m_loop.after(followed.backoff, [this, &followed, isWatch] {
-        if (isWatch) {
-            watch(followed);
+    m_loop.after(followed.backoff, [this, &followed] {
+        if (m_prober != &followed) {
+            return;
+        }
+        if (m_isFollowing || !followed.isKnown) {
+            follow(followed);
         } else {
-            list(followed);
+            m_prober = nullptr;
         }
     });
 }
@@ -205,13 +380,23 @@
 void Directory::storeAnswered(StoreOutcome outcome)
 {
     const bool isReachable = outcome != StoreOutcome::Unavailable && outcome != StoreOutcome::Unknown;
-    if (isReachable && !m_isStoreReachable) {
-        restartWatches();
-    }
-    if (isReachable != m_isStoreReachable) {
-        m_isStoreReachable = isReachable;
+    const bool isChanged = std::exchange(m_isStoreReachable, isReachable) != isReachable;
+    if (isChanged) {
         LogEvent(isReachable ? "store-regained" : "store-lost", isReachable ? LogLevel::Info : LogLevel::Warning);
     }
+    if (!isReachable) {
+        return;
+    }
+    m_prober = nullptr;
+    if (isChanged && m_isFollowing) {
+        followAll();
+        return;
+    }
+    for (Followed *followed : m_collections) {
+        if (std::exchange(followed->isParked, false)) {
+            follow(*followed);
+        }
+    }
 }
 
 void Directory::listed(Followed &followed, const std::vector<Record> &records, std::uint64_t revision, TimePoint startedAt)
@@ -229,6 +414,7 @@
         isChanged = isChanged || isGone;
         each = isGone ? followed.records.erase(each) : std::next(each);
     }
+    followed.digest = digestOf(followed);
     if (followed.collection == Collection::Terms && m_termListener) {
         // Services without a record are told so, too: a home may then write the first one.
         m_termListener(ServiceName(), std::nullopt, revision, startedAt);
@@ -246,6 +432,7 @@
     for (const Record &record : records) {
         isChanged = apply(followed, record, decisions::longAgo) || isChanged;
     }
+    followed.digest = digestOf(followed);
     if (isChanged && m_listener) {
         m_listener();
     }
@@ -305,123 +492,4 @@
     });
 }
 
-link::v1::Snapshot Directory::snapshot() const
-{
-    link::v1::Snapshot snapshot;
-    if (!isReady()) {
-        return snapshot;
-    }
-    snapshot.set_known(true);
-    auto *configuration = snapshot.mutable_configuration();
-    configuration->set_version(m_configuration->version);
-    configuration->set_transaction_idle_ms(m_configuration->transactionIdleMs);
-    for (const Route &route : m_configuration->routes) {
-        auto *each = configuration->add_routes();
-        each->set_database(route.database.text());
-        each->set_service(route.service.text());
-        each->set_consistency(static_cast<std::uint32_t>(route.consistency));
-        each->set_rank(static_cast<std::uint32_t>(route.rank));
-        each->set_timeout_ms(route.timeoutMs);
-        each->set_objective_ms(route.objectiveMs);
-        each->set_max_staleness_ms(route.stalenessLimitMs);
-    }
-    for (const ServiceLimits &limits : m_configuration->services) {
-        auto *each = configuration->add_services();
-        each->set_service(limits.service.text());
-        each->set_max_connections(limits.maxConnections);
-    }
-    for (const auto &[name, record] : m_members.records) {
-        const auto &member = std::get<MemberRecord>(record.value);
-        auto *each = snapshot.add_members();
-        each->set_id(member.id.text());
-        each->set_service(member.service.text());
-        each->set_address(member.address);
-        each->set_domain(member.domain.text());
-        each->set_slots(member.slots);
-        each->set_leaving(member.isLeaving);
-        each->set_says_primary(member.saysPrimary);
-        each->set_incarnation(member.incarnation);
-        each->set_revision(record.revision);
-    }
-    for (const auto &[name, record] : m_instances.records) {
-        const auto &instance = std::get<InstanceRecord>(record.value);
-        auto *each = snapshot.add_instances();
-        each->set_id(instance.id.text());
-        each->set_address(instance.address);
-        each->set_domain(instance.domain.text());
-        each->set_incarnation(instance.incarnation);
-        each->set_leaving(instance.isLeaving);
-        each->set_revision(record.revision);
-    }
-    for (const auto &[name, record] : m_terms.records) {
-        const auto &term = std::get<TermRecord>(record.value);
-        auto *each = snapshot.add_terms();
-        each->set_service(term.service.text());
-        each->set_generation(term.generation);
-        each->set_primary(term.primary.text());
-        for (const std::string &home : term.homes) {
-            each->add_homes(home);
-        }
-        each->set_term(term.term);
-        each->set_revision(record.revision);
-    }
-    return snapshot;
-}
-
-void Directory::merge(const link::v1::Snapshot &snapshot)
-{
-    if (!snapshot.known()) {
-        return;
-    }
-    FleetConfiguration configuration;
-    configuration.version = snapshot.configuration().version();
-    configuration.transactionIdleMs = snapshot.configuration().transaction_idle_ms();
-    for (const auto &each : snapshot.configuration().routes()) {
-        Route route;
-        route.database = decisions::DatabaseName(each.database());
-        route.service = ServiceName(each.service());
-        route.consistency = static_cast<Consistency>(std::min(each.consistency(), 2U));
-        route.rank = static_cast<decisions::Rank>(std::min(each.rank(), 2U));
-        route.timeoutMs = each.timeout_ms();
-        route.objectiveMs = each.objective_ms();
-        route.stalenessLimitMs = each.max_staleness_ms();
-        configuration.routes.push_back(route);
-    }
-    for (const auto &each : snapshot.configuration().services()) {
-        configuration.services.push_back({ServiceName(each.service()), each.max_connections()});
-    }
-    adoptConfiguration(configuration, "peer");
-    const TimePoint longBefore = decisions::longAgo; // a peer's word is no evidence of the present
-    for (const auto &each : snapshot.members()) {
-        const MemberRecord member{MemberId(each.id()),
-                                  ServiceName(each.service()),
-                                  each.address(),
-                                  decisions::FailureDomain(each.domain()),
-                                  each.slots(),
-                                  each.leaving(),
-                                  each.says_primary(),
-                                  each.incarnation()};
-        apply(m_members, {each.id(), each.revision(), false, member}, longBefore);
-    }
-    for (const auto &each : snapshot.instances()) {
-        const InstanceRecord instance{
-            decisions::InstanceId(each.id()), each.address(), decisions::FailureDomain(each.domain()), each.incarnation(), each.leaving()};
-        apply(m_instances, {each.id(), each.revision(), false, instance}, longBefore);
-    }
-    for (const auto &each : snapshot.terms()) {
-        const TermRecord term{ServiceName(each.service()),
-                              each.generation(),
-                              MemberId(each.primary()),
-                              std::vector<std::string>(each.homes().begin(), each.homes().end()),
-                              each.term()};
-        apply(m_terms, {each.service(), each.revision(), false, term}, longBefore);
-    }
-    m_members.isKnown = true;
-    m_instances.isKnown = true;
-    LogEvent("snapshot-merged").with("version", configuration.version).with("members", snapshot.members_size());
-    if (m_listener) {
-        m_listener();
-    }
-}
-
 } // namespace rattanbeam::sessions::internal
--- /dev/null
+++ b/sessions/src/internal/directorysnapshot.cpp
@@ -0,0 +1,204 @@
+#include "rattanbeam/sessions/internal/directory.h"
+
+#include "rattanbeam/kernel/logevent.h"
+
+#include <algorithm>
+
+/// What instances hand each other of their directories.
+namespace rattanbeam::sessions::internal
+{
+
+using kernel::LogEvent;
+
+namespace
+{
+
+void fillConfiguration(link::v1::Configuration &message, const FleetConfiguration &configuration)
+{
+    message.set_version(configuration.version);
+    message.set_transaction_idle_ms(configuration.transactionIdleMs);
+    for (const Route &route : configuration.routes) {
+        auto *each = message.add_routes();
+        each->set_database(route.database.text());
+        each->set_service(route.service.text());
+        each->set_consistency(static_cast<std::uint32_t>(route.consistency));
+        each->set_rank(static_cast<std::uint32_t>(route.rank));
+        each->set_timeout_ms(route.timeoutMs);
+        each->set_objective_ms(route.objectiveMs);
+        each->set_max_staleness_ms(route.stalenessLimitMs);
+    }
+    for (const ServiceLimits &limits : configuration.services) {
+        auto *each = message.add_services();
+        each->set_service(limits.service.text());
+        each->set_max_connections(limits.maxConnections);
+    }
+}
+
+FleetConfiguration configurationOf(const link::v1::Configuration &message)
+{
+    FleetConfiguration configuration;
+    configuration.version = message.version();
+    configuration.transactionIdleMs = message.transaction_idle_ms();
+    for (const auto &each : message.routes()) {
+        Route route;
+        route.database = decisions::DatabaseName(each.database());
+        route.service = ServiceName(each.service());
+        route.consistency = static_cast<Consistency>(std::min(each.consistency(), 2U));
+        route.rank = static_cast<decisions::Rank>(std::min(each.rank(), 2U));
+        route.timeoutMs = each.timeout_ms();
+        route.objectiveMs = each.objective_ms();
+        route.stalenessLimitMs = each.max_staleness_ms();
+        configuration.routes.push_back(route);
+    }
+    for (const auto &each : message.services()) {
+        configuration.services.push_back({ServiceName(each.service()), each.max_connections()});
+    }
+    return configuration;
+}
+
+void fillMember(link::v1::Member &message, const Record &record)
+{
+    const auto &member = std::get<MemberRecord>(record.value);
+    message.set_id(member.id.text());
+    message.set_service(member.service.text());
+    message.set_address(member.address);
+    message.set_domain(member.domain.text());
+    message.set_slots(member.slots);
+    message.set_leaving(member.isLeaving);
+    message.set_says_primary(member.saysPrimary);
+    message.set_incarnation(member.incarnation);
+    message.set_revision(record.revision);
+}
+
+Record memberOf(const link::v1::Member &message)
+{
+    const MemberRecord member{MemberId(message.id()),
+                              ServiceName(message.service()),
+                              message.address(),
+                              decisions::FailureDomain(message.domain()),
+                              message.slots(),
+                              message.leaving(),
+                              message.says_primary(),
+                              message.incarnation()};
+    return {message.id(), message.revision(), false, member};
+}
+
+void fillInstance(link::v1::Instance &message, const Record &record)
+{
+    const auto &instance = std::get<InstanceRecord>(record.value);
+    message.set_id(instance.id.text());
+    message.set_address(instance.address);
+    message.set_domain(instance.domain.text());
+    message.set_incarnation(instance.incarnation);
+    message.set_leaving(instance.isLeaving);
+    message.set_processor_milli(instance.processorMilli);
+    message.set_revision(record.revision);
+}
+
+Record instanceOf(const link::v1::Instance &message)
+{
+    const InstanceRecord instance{decisions::InstanceId(message.id()),
+                                  message.address(),
+                                  decisions::FailureDomain(message.domain()),
+                                  message.incarnation(),
+                                  message.leaving(),
+                                  message.processor_milli()};
+    return {message.id(), message.revision(), false, instance};
+}
+
+void fillTerm(link::v1::TermEntry &message, const Record &record)
+{
+    const auto &term = std::get<TermRecord>(record.value);
+    message.set_service(term.service.text());
+    message.set_generation(term.generation);
+    message.set_primary(term.primary.text());
+    for (const std::string &home : term.homes) {
+        message.add_homes(home);
+    }
+    message.set_term(term.term);
+    message.set_revision(record.revision);
+}
+
+Record termOf(const link::v1::TermEntry &message)
+{
+    const TermRecord term{ServiceName(message.service()),
+                          message.generation(),
+                          MemberId(message.primary()),
+                          std::vector<std::string>(message.homes().begin(), message.homes().end()),
+                          message.term()};
+    return {message.service(), message.revision(), false, term};
+}
+
+template<typename Messages, typename Convert>
+std::vector<Record> recordsOf(const Messages &messages, Convert convert)
+{
+    std::vector<Record> records;
+    for (const auto &message : messages) {
+        records.push_back(convert(message));
+    }
+    return records;
+}
+
+} // namespace
+
+link::v1::Snapshot Directory::snapshot(const link::v1::SnapshotRequest &request) const
+{
+    link::v1::Snapshot snapshot;
+    if (!isReady()) {
+        return snapshot;
+    }
+    snapshot.set_known(true);
+    const bool isWhole = !request.configuration() && !request.members() && !request.instances() && !request.terms();
+    if (isWhole || request.configuration()) {
+        fillConfiguration(*snapshot.mutable_configuration(), *m_configuration);
+    }
+    if (isWhole || request.members()) {
+        snapshot.set_members_revision(m_members.revision);
+        for (const auto &[name, record] : m_members.records) {
+            fillMember(*snapshot.add_members(), record);
+        }
+    }
+    if (isWhole || request.instances()) {
+        snapshot.set_instances_revision(m_instances.revision);
+        for (const auto &[name, record] : m_instances.records) {
+            fillInstance(*snapshot.add_instances(), record);
+        }
+    }
+    if ((isWhole || request.terms()) && m_terms.isKnown) {
+        snapshot.set_terms_revision(m_terms.revision);
+        for (const auto &[name, record] : m_terms.records) {
+            fillTerm(*snapshot.add_terms(), record);
+        }
+    }
+    return snapshot;
+}
+
+void Directory::merge(const link::v1::Snapshot &snapshot)
+{
+    if (!snapshot.known()) {
+        return;
+    }
+    if (snapshot.has_configuration()) {
+        adoptConfiguration(configurationOf(snapshot.configuration()), "peer");
+    }
+    const TimePoint noEvidence = decisions::longAgo; // a peer's word says nothing about the present
+    if (snapshot.members_revision() != 0) {
+        listed(m_members, recordsOf(snapshot.members(), memberOf), snapshot.members_revision(), noEvidence);
+    }
+    if (snapshot.terms_revision() != 0) {
+        listed(m_terms, recordsOf(snapshot.terms(), termOf), snapshot.terms_revision(), noEvidence);
+    }
+    if (snapshot.instances_revision() != 0) {
+        listed(m_instances, recordsOf(snapshot.instances(), instanceOf), snapshot.instances_revision(), noEvidence);
+    }
+    LogEvent("snapshot-merged")
+        .with("version", m_configuration ? m_configuration->version : 0)
+        .with("members", snapshot.members_size())
+        .with("instances", snapshot.instances_size())
+        .with("terms", snapshot.terms_size());
+    if (m_listener) {
+        m_listener();
+    }
+}
+
+} // namespace rattanbeam::sessions::internal
--- a/sessions/src/internal/entryservice.cpp
+++ b/sessions/src/internal/entryservice.cpp
@@ -150,20 +150,6 @@
     m_sessions.at(number).channel->answer(answer);
 }
 
-const std::vector<InstanceRecord> &EntryService::order(const ServiceName &service)
-{
-    const auto found = m_orders.find(service);
-    if (found != m_orders.end()) {
-        return found->second;
-    }
-    return m_orders.emplace(service, homeOrder(service, m_directory.instances())).first->second;
-}
-
-void EntryService::fleetChanged()
-{
-    m_orders.clear();
-}
-
 void EntryService::forward(std::uint64_t request)
 {
     Pending &pending = m_pending.at(request);
@@ -182,7 +168,7 @@
     }
     bool isSubstitute = false;
     if (++pending.attempts <= mostAttempts && now < pending.deadline) {
-        for (const InstanceRecord &instance : order(pending.route.service)) {
+        for (const InstanceRecord &instance : m_homes.ranking(pending.route.service)) {
             const bool isSelf = instance.id == m_settings.instance;
             const std::string address = isSelf ? localHome : instance.address;
             const auto unfit = m_unfitUntil.find({pending.route.service, address});
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -1,6 +1,5 @@
 #include "rattanbeam/sessions/internal/homeservice.h"
 
-#include "rattanbeam/decisions/homeassignment.h"
 #include "rattanbeam/kernel/logevent.h"
 
 #include <algorithm>
@@ -77,23 +76,6 @@
 
 } // namespace
 
-std::vector<InstanceRecord> homeOrder(const ServiceName &service, const std::vector<InstanceRecord> &instances)
-{
-    std::map<InstanceId, InstanceRecord> byId;
-    std::vector<InstanceId> ids;
-    for (const InstanceRecord &instance : instances) {
-        if (!instance.isLeaving) {
-            byId[instance.id] = instance;
-            ids.push_back(instance.id);
-        }
-    }
-    std::vector<InstanceRecord> order;
-    for (const InstanceId &id : decisions::rendezvousOrder(service.text(), ids)) {
-        order.push_back(byId.at(id));
-    }
-    return order;
-}
-
 /// One service's home with the effects of its decisions.
 class HomeService::Group : public HomeEffects
 {
@@ -215,31 +197,38 @@
     return &group;
 }
 
-bool HomeService::isFirstHome(const ServiceName &service) const
+void HomeService::planFleet()
 {
-    const auto order = homeOrder(service, m_directory.instances());
-    return !m_isAway && !order.empty() && order.front().id == m_settings.instance;
+    const auto instances = m_directory.instances();
+    std::vector<ServiceName> services;
+    for (const ServiceLimits &limits : m_directory.configuration()->services) {
+        services.push_back(limits.service);
+    }
+    for (const Route &route : m_directory.configuration()->routes) {
+        services.push_back(route.service);
+    }
+    m_plan = decisions::session::planHomes(services, instances);
+    m_relays = decisions::session::planRelays(m_plan, instances);
 }
 
-bool HomeService::isFirstHomeOfAny() const
+const HomeRanking &HomeService::ranking(const ServiceName &service) const
 {
-    return firstHomes().contains(m_settings.peerAddress);
+    static const HomeRanking none;
+    const auto found = m_plan.find(service);
+    return found == m_plan.end() ? none : found->second;
 }
 
-std::set<std::string> HomeService::firstHomes() const
+bool HomeService::isFirstHome(const ServiceName &service) const
 {
-    std::set<std::string> addresses;
-    if (!m_directory.configuration()) {
-        return addresses;
-    }
-    const auto instances = m_directory.instances();
-    for (const ServiceLimits &limits : m_directory.configuration()->services) {
-        const auto order = homeOrder(limits.service, instances);
-        if (!order.empty()) {
-            addresses.insert(order.front().address);
-        }
-    }
-    return addresses;
+    const HomeRanking &order = ranking(service);
+    return !m_isAway && !order.empty() && order.front().id == m_settings.instance;
+}
+
+bool HomeService::isRelay() const
+{
+    return std::any_of(m_relays.begin(), m_relays.end(), [&](const InstanceRecord &relay) {
+        return relay.id == m_settings.instance;
+    });
 }
 
 void HomeService::feedGroup(Group &group)
@@ -434,6 +423,7 @@
 void HomeService::fleetChanged()
 {
     if (m_directory.configuration() && m_directory.isReady()) {
+        planFleet();
         for (const ServiceLimits &limits : m_directory.configuration()->services) {
             if (isFirstHome(limits.service)) {
                 group(limits.service);
--- a/sessions/src/internal/peerlinks.cpp
+++ b/sessions/src/internal/peerlinks.cpp
@@ -17,7 +17,8 @@
 namespace
 {
 
-constexpr decisions::Duration pingInterval = 250ms;
+constexpr decisions::Duration pingInterval = 500ms;
+constexpr decisions::Duration silenceInterval = 250ms; // a link in use that hears nothing for so long is asked sooner
 constexpr decisions::Duration pingTimeout = 500ms;
 constexpr decisions::Duration usedFor = 2s; // links without traffic for longer are not pinged
 constexpr decisions::Duration wantedFor = 30s; // a lost peer is tried again for this long after its last use
@@ -116,10 +117,13 @@
     if (generation != link.generation || !link.stream) {
         return;
     }
+    const TimePoint askedAt = link.pingSentAt;
     link.isPingOwed = false;
+    link.heardAt = EventLoop::now();
     if (!link.isEstablished) {
         link.isEstablished = true;
         link.isSuspect = false;
+        link.suspectSince = decisions::longAgo;
         link.backoff = {};
         LogEvent("peer-reached").with("peer", address);
         for (const Frame &waiting : std::exchange(link.unsent, {})) {
@@ -128,7 +132,7 @@
     }
     if (frame.has_pong()) {
         link.isLeaving = frame.pong().leaving();
-        m_known(frame.pong().configuration_version(), frame.pong().members_digest());
+        m_known(address, frame.pong(), askedAt);
         return;
     }
     m_arrived(address, frame);
@@ -147,6 +151,7 @@
     link.backoff = wasEstablished ? decisions::Duration(leastBackoff / 4)
                                   : std::clamp<decisions::Duration>(link.backoff * 2, leastBackoff, mostBackoff);
     link.isSuspect = true;
+    link.suspectSince = link.suspectSince == decisions::longAgo ? EventLoop::now() : link.suspectSince;
     link.nextTryAt = EventLoop::now() + link.backoff;
     LogEvent("peer-lost", LogLevel::Warning).with("peer", address).with("cause", cause).with("unsent", link.unsent.size());
     const std::deque<Frame> unsent = std::exchange(link.unsent, {});
@@ -160,6 +165,29 @@
     }
 }
 
+bool PeerLinks::isPingDue(const Link &link, TimePoint now)
+{
+    const bool isUsed = now - link.lastUsed < usedFor;
+    const bool isSilent = isUsed && now - std::max(link.heardAt, link.pingSentAt) > silenceInterval;
+    return (isSilent || now - link.pingSentAt > pingInterval) && (isUsed || link.isKept);
+}
+
+std::optional<TimePoint> PeerLinks::unreachableSince(const std::string &address) const
+{
+    const auto found = m_links.find(address);
+    const bool isSilent = found != m_links.end() && found->second.suspectSince != decisions::longAgo;
+    return isSilent ? std::optional(found->second.suspectSince) : std::nullopt;
+}
+
+void PeerLinks::look(const std::string &address)
+{
+    Link &link = m_links[address];
+    link.lastUsed = EventLoop::now();
+    if (!link.stream && !link.isSuspect) {
+        open(address, link);
+    }
+}
+
 void PeerLinks::tick()
 {
     const TimePoint now = EventLoop::now();
@@ -173,8 +201,7 @@
         }
         if (link.isPingOwed && now - link.pingSentAt > pingTimeout) {
             silent.emplace_back(address, link.generation);
-        } else if (!link.isPingOwed && link.isEstablished && now - link.pingSentAt > pingInterval
-                   && (link.isKept || now - link.lastUsed < usedFor)) {
+        } else if (!link.isPingOwed && link.isEstablished && isPingDue(link, now)) {
             ping(link);
         }
     }
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -29,6 +29,8 @@
 constexpr decisions::Duration rotationDelay = 2200ms; // until the balancer sends no more connections
 constexpr decisions::Duration exitSlack = 900ms; // before the grace ends
 constexpr decisions::Duration registerRetry = 300ms;
+constexpr decisions::Duration careInterval = 3s;
+constexpr decisions::Duration goneAfter = 10s; // without an answer, until a registration is removed
 constexpr decisions::Duration snapshotDelay = 700ms; // a start without the store asks peers after this
 
 std::uint64_t startTimeMs()
@@ -54,10 +56,11 @@
                   peerAnswered(address, frame);
               },
               [this](const std::string &address, const std::deque<link::v1::Frame> &unsent) {
+                  directory.peerLost(address);
                   entry.linkLost(address, unsent);
               },
-              [this](std::uint64_t configurationVersion, std::uint64_t membersDigest) {
-                  directory.peerKnows(configurationVersion, membersDigest);
+              [this](const std::string &address, const link::v1::Pong &pong, TimePoint askedAt) {
+                  peerKnows(address, pong, askedAt);
               })
         , homes(loop, settings, incarnation, directory, links, ports)
         , entry(loop, settings, directory, links, homes, metrics)
@@ -69,7 +72,13 @@
     void scheduleTick();
     void measureLag();
     bool isAway() const;
-    void keepHomes();
+    InstanceRecord self() const;
+    void peerKnows(const std::string &address, const link::v1::Pong &pong, TimePoint askedAt);
+    void fleetChanged();
+    void keepRelays();
+    void scheduleCare();
+    void careForInstances();
+    bool isInCare(const InstanceRecord &instance, TimePoint now) const;
     void announceAway();
     void askForSnapshot();
     internal::FrameEvents acceptPeer(const std::shared_ptr<internal::FrameStream> &stream);
@@ -151,17 +160,12 @@
         return false;
     }
     directory.onChange([this] {
-        entry.fleetChanged();
-        homes.fleetChanged();
-        directory.setWatchesShort(homes.isFirstHomeOfAny() || !homes.isAnyHomeElsewhere());
-        keepHomes();
-        if (directory.isReady() && !std::exchange(isReadyReported, true)) {
-            LogEvent("ready").with("version", directory.configuration()->version).with("members", directory.members().size());
-        }
-        const auto own = directory.instanceRecords().find(settings.instance.text());
-        if (own == directory.instanceRecords().end() && ownRevision != 0) {
-            registerSelf(); // removed by somebody who took this instance for dead
-        }
+        fleetChanged();
+    });
+    directory.onSnapshotNeeded([this](const std::string &address, const link::v1::SnapshotRequest &request) {
+        link::v1::Frame frame;
+        *frame.mutable_snapshot_request() = request;
+        links.send(address, frame);
     });
     directory.onTerm(
         [this](const ServiceName &service, const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt) {
@@ -170,6 +174,7 @@
     directory.start();
     registerSelf();
     scheduleTick();
+    scheduleCare();
     loop.after(snapshotDelay, [this] {
         askForSnapshot();
     });
@@ -181,6 +186,7 @@
     loop.every(tickInterval, [this] {
         measureLag();
         links.tick();
+        directory.tick();
         homes.tick();
         entry.tick();
     });
@@ -202,14 +208,98 @@
     }
 }
 
-/// Homes know first when something changes.
-void SessionInstance::Parts::keepHomes()
+void SessionInstance::Parts::fleetChanged()
+{
+    homes.fleetChanged();
+    directory.setRelay(homes.isRelay());
+    keepRelays();
+    if (directory.isReady() && !std::exchange(isReadyReported, true)) {
+        LogEvent("ready").with("version", directory.configuration()->version).with("members", directory.members().size());
+    }
+    if (!directory.instanceRecords().contains(settings.instance.text()) && ownRevision != 0) {
+        registerSelf(); // removed by somebody who took this instance for dead
+    }
+}
+
+InstanceRecord SessionInstance::Parts::self() const
+{
+    return {settings.instance, settings.peerAddress, settings.domain, incarnation, isLeaving, settings.processorMilli};
+}
+
+void SessionInstance::Parts::keepRelays()
 {
-    std::set<std::string> addresses = homes.firstHomes();
+    std::set<std::string> addresses;
+    for (const InstanceRecord &relay : homes.isRelay() ? homes.relays() : decisions::session::relaysOf(self(), homes.relays())) {
+        addresses.insert(relay.address);
+    }
     addresses.erase(settings.peerAddress);
     links.keep(addresses);
 }
 
+void SessionInstance::Parts::peerKnows(const std::string &address, const link::v1::Pong &pong, TimePoint askedAt)
+{
+    internal::PeerKnowledge peer;
+    peer.address = address;
+    const auto instances = directory.instances();
+    peer.isNear = std::any_of(instances.begin(), instances.end(), [&](const InstanceRecord &instance) {
+        return instance.address == address && instance.domain == settings.domain;
+    });
+    peer.configurationVersion = pong.configuration_version();
+    peer.membersDigest = pong.members_digest();
+    peer.instancesDigest = pong.instances_digest();
+    peer.termsDigest = pong.terms_digest();
+    if (pong.follows_store()) {
+        peer.confirmedAt = askedAt - std::chrono::milliseconds(pong.store_age_ms());
+    }
+    directory.peerKnows(peer);
+}
+
+void SessionInstance::Parts::scheduleCare()
+{
+    loop.every(careInterval, [this] {
+        careForInstances();
+    });
+}
+
+/// Whether this is the first of the instance's caretakers that is alive.
+bool SessionInstance::Parts::isInCare(const InstanceRecord &instance, TimePoint now) const
+{
+    for (const InstanceRecord &caretaker : decisions::session::caretakersOf(instance, homes.relays())) {
+        if (caretaker.id == settings.instance) {
+            return true;
+        }
+        const auto since = links.unreachableSince(caretaker.address);
+        if (!since || now - *since < goneAfter) {
+            return false;
+        }
+    }
+    return false;
+}
+
+/// Registrations do not expire by themselves: one whose instance answers nobody is removed. An instance that was only cut off
+/// registers anew.
+void SessionInstance::Parts::careForInstances()
+{
+    if (!homes.isRelay() || isAway() || !directory.isStoreReachable()) {
+        return;
+    }
+    const TimePoint now = EventLoop::now();
+    for (const auto &[name, record] : directory.instanceRecords()) {
+        const auto &instance = std::get<InstanceRecord>(record.value);
+        if (instance.id == settings.instance || !isInCare(instance, now)) {
+            continue;
+        }
+        links.look(instance.address);
+        const auto since = links.unreachableSince(instance.address);
+        if (since && now - *since > goneAfter) {
+            LogEvent("instance-removed", LogLevel::Warning)
+                .with("peer", instance.id)
+                .with("unreachable_ms", decisions::millisecondsUntil(now, *since));
+            ports.store->remove(Collection::Instances, name, record.revision, [](StoreOutcome, const std::optional<Record> &) {});
+        }
+    }
+}
+
 bool SessionInstance::Parts::isAway() const
 {
     return isLeaving || lagMeter.isOverloaded();
@@ -231,7 +321,7 @@
     if (std::exchange(isRegistering, true)) {
         return;
     }
-    const InstanceRecord record{settings.instance, settings.peerAddress, settings.domain, incarnation, isLeaving};
+    const InstanceRecord record = self();
     ports.store->write(Collection::Instances,
                        settings.instance.text(),
                        record,
@@ -240,6 +330,7 @@
                            isRegistering = false;
                            if (outcome == StoreOutcome::Done && current) {
                                ownRevision = current->revision;
+                               directory.registered(*current);
                                if (record.isLeaving != isLeaving) {
                                    registerSelf();
                                }
@@ -297,10 +388,7 @@
     case link::v1::Frame::kPing:
         answer.mutable_pong()->set_number(frame.ping().number());
         answer.mutable_pong()->set_leaving(isAway());
-        if (directory.isReady()) {
-            answer.mutable_pong()->set_configuration_version(directory.configuration()->version);
-            answer.mutable_pong()->set_members_digest(directory.membersDigest());
-        }
+        directory.describe(*answer.mutable_pong());
         stream->write(answer);
         break;
     case link::v1::Frame::kStatement:
@@ -327,7 +415,7 @@
         stream->write(answer);
         break;
     case link::v1::Frame::kSnapshotRequest:
-        *answer.mutable_snapshot() = directory.snapshot();
+        *answer.mutable_snapshot() = directory.snapshot(frame.snapshot_request());
         answer.mutable_snapshot()->set_number(frame.snapshot_request().number());
         stream->write(answer);
         break;
@@ -349,9 +437,7 @@
         homes.fenceAnswered(frame.fence_reply());
         break;
     case link::v1::Frame::kSnapshot:
-        if (!directory.isReady()) {
-            directory.merge(frame.snapshot());
-        }
+        directory.merge(frame.snapshot());
         break;
     default:
         break;
--- a/sessions/src/sessionsettings.cpp
+++ b/sessions/src/sessionsettings.cpp
@@ -2,6 +2,9 @@
 
 #include "rattanbeam/decisions/inireader.h"
 
+#include <algorithm>
+#include <charconv>
+#include <cmath>
 #include <sstream>
 
 namespace rattanbeam::sessions
@@ -44,6 +47,24 @@
     return parts;
 }
 
+/// Thousandths of a core, from a share such as 0.25 and the speed of the core.
+std::uint32_t processorShare(IniReader &reader)
+{
+    constexpr double most = 1024;
+    double cores = 1;
+    for (const char *key : {"processor-share", "processor-speed"}) {
+        const std::string text = reader.text("limits", key, "1");
+        double value = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        if (error != std::errc() || end != text.data() + text.size() || !(value > 0) || value > most) {
+            reader.fail("limits", key, "'" + text + "' is not a number above 0");
+            return 1000;
+        }
+        cores *= value;
+    }
+    return static_cast<std::uint32_t>(std::max(1.0, std::round(cores * 1000)));
+}
+
 } // namespace
 
 decisions::Result<SessionSettings> parseSessionSettings(const std::string &text)
@@ -64,6 +85,7 @@
     settings.promotionAddress = address(reader, "platform", "promotions", false);
     settings.grace = reader.duration("limits", "grace", {500, 600'000}, 6s);
     settings.configurationBound = reader.duration("limits", "configuration-bound", {500, 600'000}, 3s);
+    settings.processorMilli = processorShare(reader);
     const std::string level = reader.choice("log", "level", {"debug", "info", "warning", "error"}, "info");
     settings.logLevel = level == "debug"     ? kernel::LogLevel::Debug
                         : level == "warning" ? kernel::LogLevel::Warning
--- a/standins/src/sessions/httpserver.cpp
+++ b/standins/src/sessions/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "rattanbeam/standins/sessions/objectstore.h"
 
+#include "rattanbeam/standins/sessions/listening.h"
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -83,9 +85,7 @@
 } // namespace
 
 HttpServer::HttpServer(boost::asio::io_context &context, Handler handler)
-    : m_acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
-    , m_handler(std::move(handler))
-    , m_address("127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()))
+    : m_acceptor(listenOnLoopback(context)), m_handler(std::move(handler)), m_address(addressOf(m_acceptor))
 {
     accept();
 }
--- a/standins/src/sessions/memberserver.cpp
+++ b/standins/src/sessions/memberserver.cpp
@@ -1,5 +1,7 @@
 #include "rattanbeam/standins/sessions/memberserver.h"
 
+#include "rattanbeam/standins/sessions/listening.h"
+
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
@@ -329,8 +331,8 @@
     , m_id(std::move(id))
     , m_group(group)
     , m_events(std::move(events))
-    , m_acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
-    , m_address("127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()))
+    , m_acceptor(listenOnLoopback(context))
+    , m_address(addressOf(m_acceptor))
 {
     accept();
 }
--- a/systemtests/src/process.cpp
+++ b/systemtests/src/process.cpp
@@ -29,6 +29,7 @@
         const int log = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
+        closefrom(STDERR_FILENO + 1); // ports and connections of the test itself
         execv(program.c_str(), words.data());
         _exit(127);
     }
--- a/systemtests/src/soak/soakfleet.cpp
+++ b/systemtests/src/soak/soakfleet.cpp
@@ -1,5 +1,7 @@
 #include "rattanbeam/systemtests/soak/soakfleet.h"
 
+#include "rattanbeam/standins/sessions/listening.h"
+
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
@@ -9,7 +11,6 @@
 namespace rattanbeam::systemtests::soak
 {
 
-using boost::asio::ip::tcp;
 using standins::sessions::MemberServer;
 using standins::sessions::RunCommit;
 using standins::sessions::RunStatement;
@@ -26,8 +27,7 @@
 
 std::string freeAddress(boost::asio::io_context &context)
 {
-    tcp::acceptor acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    return standins::sessions::addressOf(standins::sessions::listenOnLoopback(context));
 }
 
 std::vector<SoakRoute> routes()
