An isolated domain sends its clients elsewhere; a substitute grows; a cap once met does not last

A cap met once held for the life of a member's entry. Ruled out: slow failover (primaries changed within 1 s), overload of the processor. Change: Isolation (no instance and no member of another domain answers) takes the instance out of rotation and closes sessions at rest; a substitute that is needed for 400 ms has a first home's limit; a cap is tried again after 1.5 s.

--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -54,7 +54,7 @@
 
     void membersChanged(const std::vector<MemberRecord> &members, TimePoint now);
     void setLimits(const GroupHomeLimits &limits);
-    /// Whether this instance is the service's first home; others keep few connections.
+    /// Whether this instance is the service's first home; others keep few connections until they are needed for long.
     void setFirst(bool isFirst)
     {
         m_isFirst = isFirst;
@@ -126,7 +126,9 @@
         TimePoint peersAskedAt = longAgo;
         /// What peers said since the member went silent: how many reach it, how many do not.
         std::optional<std::pair<std::size_t, std::size_t>> peerVerdict;
-        std::size_t connectionCap = 0; ///< 0: none was met
+        /// Connections that this home had when the member accepted no more, until it is tried again.
+        std::size_t connectionCap = 0;
+        TimePoint cappedUntil = longAgo;
     };
     struct Work {
         HomeRequest request;
@@ -211,7 +213,7 @@
     Member *memberOf(ConnectionNumber connection);
     MemberConnection *connectionOf(ConnectionNumber connection, Member **member);
     void openConnection(Member &member, TimePoint now);
-    std::size_t connectionLimit(const Member &member) const;
+    std::size_t connectionLimit(const Member &member, TimePoint now) const;
     void sendNext(Member &member, MemberConnection &connection, TimePoint now);
     void applyPreparation(MemberConnection &connection, const MemberCommand &command);
     void maintenanceAnswered(Member &member,
@@ -296,6 +298,9 @@
     PrimaryLease m_lease;
     std::deque<AwaitingEvidence> m_awaiting;
     PrimaryChange m_change;
+    TimePoint m_lastRequestAt = longAgo;
+    /// Since when requests have come without a rest.
+    TimePoint m_substituteSince = longAgo;
     TimePoint m_unfitUntil = longAgo;
     TimePoint m_fencedSince = longAgo;
     /// Since when no member of the latest term could be found to lead.
--- a/decisions/src/session/grouphome.cpp
+++ b/decisions/src/session/grouphome.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr Duration retryPause = 15ms; // before a member that was busy is asked again
+constexpr Duration substituteRest = 1000ms; // without requests, after which a substitute starts over
 constexpr Duration coverMargin = 20ms;
 constexpr double avoidedPenalty = 1000; // taken only when there is no other
 constexpr double primaryPenalty = 0.75; // reads leave the primary's slots to what only it can do
@@ -38,6 +39,10 @@
 
 void GroupHome::request(const HomeRequest &request, TimePoint now)
 {
+    if (now - m_lastRequestAt > substituteRest) {
+        m_substituteSince = now;
+    }
+    m_lastRequestAt = now;
     const WorkNumber number = ++m_lastWork;
     m_work[number].request = request;
     dispatch(number, now);
@@ -223,7 +228,7 @@
         waiting += member.queue.waiting(rank);
     }
     if (waiting > member.connections.opening() && member.connections.idle() == 0 && now >= member.nextConnectAt
-        && member.connections.total() < connectionLimit(member)) {
+        && member.connections.total() < connectionLimit(member, now)) {
         openConnection(member, now);
     }
 }
--- a/decisions/src/session/grouphomemembers.cpp
+++ b/decisions/src/session/grouphomemembers.cpp
@@ -13,12 +13,14 @@
 
 constexpr Duration leastBackoff = 100ms;
 constexpr Duration mostBackoff = 1000ms;
+constexpr Duration capMemory = 1500ms; // a member that accepted no more connections is tried again after this
 constexpr std::size_t warmConnections = 3;
 constexpr Duration distrustTime = 250ms;
 constexpr int heldShare = 5; // of the objective that work may wait for a primary
 constexpr int stallPercent = 60; // of the objective, until a read counts as stalled
 constexpr std::size_t statementsAhead = 1; // hides the way to the member from its slots
 constexpr std::size_t substituteConnections = 3;
+constexpr Duration substituteProbation = 400ms; // the first home may only have been slow to answer
 
 std::string positionText(const LogPosition &position)
 {
@@ -96,13 +98,13 @@
     return *member == nullptr ? nullptr : (*member)->connections.find(number);
 }
 
-std::size_t GroupHome::connectionLimit(const Member &member) const
+std::size_t GroupHome::connectionLimit(const Member &member, TimePoint now) const
 {
     std::size_t limit = m_limits.maxConnections - std::min(m_limits.reservedConnections, m_limits.maxConnections - 1);
-    if (!m_isFirst) {
+    if (!m_isFirst && now - m_substituteSince < substituteProbation) {
         limit = std::min(limit, substituteConnections);
     }
-    return member.connectionCap == 0 ? limit : std::min(limit, member.connectionCap);
+    return now < member.cappedUntil ? std::min(limit, member.connectionCap) : limit;
 }
 
 void GroupHome::openConnection(Member &member, TimePoint now)
@@ -150,6 +152,7 @@
     if (failure == ConnectFailure::Overloaded) {
         // Other homes hold the rest of the member's cap.
         member->connectionCap = std::max<std::size_t>(1, member->connections.total());
+        member->cappedUntil = now + capMemory;
         member->nextConnectAt = now + 300ms;
         return;
     }
--- a/decisions/src/session/homeplan.cpp
+++ b/decisions/src/session/homeplan.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t leastRelays = 3;
 constexpr std::size_t relaysForOne = 4;
+constexpr std::ptrdiff_t nearRelays = 2;
 
 /// Spreads a difference in few bits over all of them, as MurmurHash3 does at its end.
 std::uint64_t mixed(std::uint64_t hash)
@@ -101,9 +102,11 @@
     std::erase_if(order, [&](const InstanceRecord &relay) {
         return relay.id == self.id;
     });
-    std::stable_partition(order.begin(), order.end(), [&](const InstanceRecord &relay) {
+    const auto foreign = std::stable_partition(order.begin(), order.end(), [&](const InstanceRecord &relay) {
         return relay.domain == self.domain;
     });
+    // Some of other domains, so that a cut of this one shows.
+    std::rotate(std::min(order.begin() + nearRelays, foreign), foreign, order.end());
     order.resize(std::min(order.size(), relaysForOne));
     return order;
 }
--- a/decisions/test/session/grouphome_test.cpp
+++ b/decisions/test/session/grouphome_test.cpp
@@ -173,4 +173,63 @@
     }
 }
 
+namespace
+{
+
+/// Transactions that stay open, each on a connection of its own, begun over a while.
+void openTransactions(FakeGroup &group, int count)
+{
+    for (int i = 1; i <= count; ++i) {
+        HomeRequest request = group.write("t" + std::to_string(i));
+        request.transaction = {"entry", static_cast<std::uint64_t>(i), 1};
+        request.forwarded.opensTransaction = true;
+        group.home.request(request, group.now);
+        group.pass(40ms);
+        group.answerAll();
+    }
+}
+
+} // namespace
+
+TEST_CASE("A cap on connections that a member once met does not last", "[grouphome]")
+{
+    FakeGroup group;
+    group.settle();
+    openTransactions(group, 4);
+    // Another home holds the rest of the member's cap for a while.
+    group.home.request(group.write("w1"), group.now);
+    group.pass(20ms);
+    REQUIRE_FALSE(group.opening.empty());
+    group.home.connectionFailed(group.opening.front(), ConnectFailure::Overloaded, group.now);
+    group.opening.clear();
+    const std::size_t capped = group.home.openTransactions();
+    for (int i = 0; i < 20; ++i) {
+        group.pass(200ms);
+        group.answerAll();
+    }
+    openTransactions(group, 9);
+    CHECK(group.home.openTransactions() > capped + 2);
+}
+
+TEST_CASE("A substitute that is needed for long opens connections as a first home does", "[grouphome]")
+{
+    FakeGroup group;
+    group.settle();
+    group.home.setFirst(false);
+    group.pass(1100ms); // a rest, after which it starts over
+    group.answerAll();
+    std::size_t early = 0;
+    for (int i = 1; i <= 60; ++i) {
+        HomeRequest request = group.write("t" + std::to_string(i));
+        request.transaction = {"entry", static_cast<std::uint64_t>(i), 1};
+        request.forwarded.opensTransaction = true;
+        group.home.request(request, group.now);
+        group.answerAll();
+        group.now += 15ms; // no timer fires, so that no status request opens a connection
+        early = i == 20 ? group.home.openTransactions() : early;
+    }
+    CHECK(early <= 4);
+    CHECK(group.home.openTransactions() > 6);
+}
+
 } // namespace rattanbeam::decisions::session::test
--- a/sessions/include/rattanbeam/sessions/internal/homeservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/homeservice.h
@@ -35,6 +35,8 @@
     void endTransaction(const std::string &entry, const link::v1::TransactionEnd &end);
     void entryLost(const std::string &entry);
     void probe(const link::v1::ProbeRequest &request, const std::function<void(bool isReachable)> &reply);
+    /// Tries a few members of other domains; tells how many were reached and how many were not.
+    void lookAtForeignMembers(const std::function<void(std::size_t reachable, std::size_t unreachable)> &seen);
     void fence(const link::v1::FenceRequest &request);
     /// Answers to what this instance's homes asked.
     void probeAnswered(const link::v1::ProbeReply &reply);
@@ -77,6 +79,7 @@
     void feedGroup(Group &group);
     bool isFirstHome(const ServiceName &service) const;
     void planFleet();
+    void tryMember(const MemberRecord &member, const std::function<void(bool isReachable)> &tried);
     void askPeers(const ServiceName &service, const MemberId &member);
     void askToYield(const ServiceName &service, const std::string &home, std::uint64_t generation);
     void endInquiry(std::uint64_t number);
--- a/sessions/include/rattanbeam/sessions/internal/peerlinks.h
+++ b/sessions/include/rattanbeam/sessions/internal/peerlinks.h
@@ -32,6 +32,8 @@
     /// Whether a send now would be refused.
     bool isSuspect(const std::string &address) const;
     bool isLeaving(const std::string &address) const;
+    /// When the instance last answered anything.
+    decisions::TimePoint heardAt(const std::string &address) const;
     /// Since when no answer has come; none while the instance answers, or was never asked.
     std::optional<decisions::TimePoint> unreachableSince(const std::string &address) const;
     /// Opens a link, so that unreachableSince() tells something of it soon.
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -20,6 +20,7 @@
 constexpr std::chrono::milliseconds probeTimeout = 300ms;
 constexpr decisions::Duration inquiryTimeout = 400ms;
 constexpr std::size_t peersAsked = 3;
+constexpr std::size_t membersLookedAt = 3;
 
 HomeRequest homeRequest(const std::string &entry, const link::v1::StatementRequest &message, RequestNumber number, TimePoint now)
 {
@@ -300,10 +301,15 @@
         reply(false);
         return;
     }
+    tryMember(*found, reply);
+}
+
+void HomeService::tryMember(const MemberRecord &member, const std::function<void(bool)> &tried)
+{
     const std::uint64_t number = ++m_lastInquiry;
-    const auto end = [this, number, reply](bool isReachable) {
+    const auto end = [this, number, tried](bool isReachable) {
         m_probes.erase(number);
-        reply(isReachable);
+        tried(isReachable);
     };
     MemberLinkEvents events;
     events.opened = [end] {
@@ -312,7 +318,32 @@
     events.failed = [end](ConnectFailure failure) {
         end(failure == ConnectFailure::Overloaded);
     };
-    m_probes[number] = m_ports.members->connect(*found, probeTimeout, std::move(events));
+    m_probes[number] = m_ports.members->connect(member, probeTimeout, std::move(events));
+}
+
+void HomeService::lookAtForeignMembers(const std::function<void(std::size_t, std::size_t)> &seen)
+{
+    struct Look {
+        std::size_t asked = 0;
+        std::size_t reachable = 0;
+        std::size_t unreachable = 0;
+    };
+    const auto look = std::make_shared<Look>();
+    std::vector<MemberRecord> foreign;
+    for (const MemberRecord &member : m_directory.members()) {
+        if (member.domain != m_settings.domain && foreign.size() < membersLookedAt) {
+            foreign.push_back(member);
+        }
+    }
+    look->asked = foreign.size();
+    for (const MemberRecord &member : foreign) {
+        tryMember(member, [look, seen](bool isReachable) {
+            ++(isReachable ? look->reachable : look->unreachable);
+            if (look->reachable + look->unreachable == look->asked) {
+                seen(look->reachable, look->unreachable);
+            }
+        });
+    }
 }
 
 void HomeService::fence(const link::v1::FenceRequest &request)
--- a/sessions/src/internal/peerlinks.cpp
+++ b/sessions/src/internal/peerlinks.cpp
@@ -172,6 +172,12 @@
     return (isSilent || now - link.pingSentAt > pingInterval) && (isUsed || link.isKept);
 }
 
+TimePoint PeerLinks::heardAt(const std::string &address) const
+{
+    const auto found = m_links.find(address);
+    return found == m_links.end() ? decisions::longAgo : found->second.heardAt;
+}
+
 std::optional<TimePoint> PeerLinks::unreachableSince(const std::string &address) const
 {
     const auto found = m_links.find(address);
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -1,5 +1,6 @@
 #include "rattanbeam/sessions/sessioninstance.h"
 
+#include "rattanbeam/decisions/session/isolation.h"
 #include "rattanbeam/decisions/session/lagmeter.h"
 #include "rattanbeam/kernel/logevent.h"
 #include "rattanbeam/kernel/metrics.h"
@@ -29,6 +30,8 @@
 constexpr decisions::Duration rotationDelay = 2200ms; // until the balancer sends no more connections
 constexpr decisions::Duration exitSlack = 900ms; // before the grace ends
 constexpr decisions::Duration registerRetry = 300ms;
+constexpr decisions::Duration isolationInterval = 100ms;
+constexpr decisions::Duration heardLately = 900ms; // links are asked every 500 ms
 constexpr decisions::Duration careInterval = 3s;
 constexpr decisions::Duration goneAfter = 10s; // without an answer, until a registration is removed
 constexpr decisions::Duration snapshotDelay = 700ms; // a start without the store asks peers after this
@@ -78,6 +81,7 @@
     void keepRelays();
     void scheduleCare();
     void careForInstances();
+    void watchIsolation();
     bool isInCare(const InstanceRecord &instance, TimePoint now) const;
     void announceAway();
     void askForSnapshot();
@@ -99,6 +103,8 @@
     std::set<std::shared_ptr<internal::FrameStream>> peerStreams;
     std::uint64_t lastPeer = 0;
     decisions::session::LagMeter lagMeter{tickInterval};
+    decisions::session::Isolation isolation;
+    bool isIsolationReported = false;
     std::uint64_t ownRevision = 0;
     bool isRegistering = false;
     bool isLeaving = false;
@@ -124,7 +130,7 @@
 
 bool SessionInstance::isReady() const
 {
-    return m_parts->directory.isReady() && !m_parts->isLeaving;
+    return m_parts->directory.isReady() && !m_parts->isLeaving && !m_parts->isolation.isIsolated();
 }
 
 void SessionInstance::drain(std::function<void()> closeFront, const std::function<void()> &stopped)
@@ -254,8 +260,42 @@
     directory.peerKnows(peer);
 }
 
+/// Clients of an instance that is cut off from the other domains are served better elsewhere.
+void SessionInstance::Parts::watchIsolation()
+{
+    const TimePoint now = EventLoop::now();
+    std::size_t reachable = 0;
+    std::size_t unreachable = 0;
+    for (const auto &[name, record] : directory.instanceRecords()) {
+        const auto &instance = std::get<InstanceRecord>(record.value);
+        if (instance.domain != settings.domain) {
+            reachable += now - links.heardAt(instance.address) < heardLately ? 1 : 0;
+            unreachable += links.unreachableSince(instance.address) ? 1 : 0;
+        }
+    }
+    isolation.peersSeen(reachable, unreachable, now);
+    if (isolation.isLookDue(now)) {
+        isolation.lookBegan(now);
+        homes.lookAtForeignMembers([this](std::size_t reached, std::size_t silent) {
+            isolation.membersSeen(reached, silent, EventLoop::now());
+        });
+    }
+    if (std::exchange(isIsolationReported, isolation.isIsolated()) != isolation.isIsolated()) {
+        LogEvent(isIsolationReported ? "isolated" : "isolation-ended", LogLevel::Warning)
+            .with("peers_reached", reachable)
+            .with("peers_silent", unreachable)
+            .with("sessions", entry.sessions());
+    }
+    if (isolation.areClientsSentElsewhere(now)) {
+        entry.closeResting();
+    }
+}
+
 void SessionInstance::Parts::scheduleCare()
 {
+    loop.every(isolationInterval, [this] {
+        watchIsolation();
+    });
     loop.every(careInterval, [this] {
         careForInstances();
     });
