--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -6,6 +6,8 @@
 #include "rattanbeam/decisions/session/primarylease.h"
 #include "rattanbeam/decisions/session/watermark.h"
 
+#include <chrono>
+#include <cmath>
 #include <deque>
 #include <map>
 #include <optional>
@@ -123,12 +125,20 @@
         LogPosition applied;
         /// It was further behind than its lag had told: only what it showed counts until then.
         TimePoint distrustedUntil = longAgo;
+        /// Statements that failed of late; halves every second.
+        double failures = 0;
+        TimePoint failedAt = longAgo;
         TimePoint peersAskedAt = longAgo;
         /// What peers said since the member went silent: how many reach it, how many do not.
         std::optional<std::pair<std::size_t, std::size_t>> peerVerdict;
         /// Connections that this home had when the member accepted no more, until it is tried again.
         std::size_t connectionCap = 0;
         TimePoint cappedUntil = longAgo;
+
+        double failuresAt(TimePoint now) const
+        {
+            return failures == 0 ? 0 : failures * std::exp2(-std::chrono::duration<double>(now - failedAt).count());
+        }
     };
     struct Work {
         HomeRequest request;
@@ -231,6 +241,8 @@
     void askStatus(Member &member, TimePoint now);
     void keepConnections(Member &member, TimePoint now);
     void removeMember(const MemberId &id, TimePoint now);
+    static bool isRepeatable(const Work &work, StatementError error);
+    static void noteFailure(Member &member, TimePoint now);
     void rollBack(Member &member, ConnectionNumber number, TimePoint now);
     void endOverdue(TimePoint now);
     void moveStalledReads(TimePoint now);
--- a/decisions/include/rattanbeam/decisions/session/isolation.h
+++ b/decisions/include/rattanbeam/decisions/session/isolation.h
@@ -7,18 +7,30 @@
 namespace rattanbeam::decisions::session
 {
 
-/// Decides whether this instance is cut off from the other failure domains, so that clients are better served elsewhere. Silent
-/// instances alone prove nothing, since all of them may be down: members of other domains have to be out of reach as well.
+/// What is known of the links to other instances.
+struct PeerCounts {
+    /// Instances of other domains that answered of late, and that were asked in vain.
+    std::size_t foreignHeard = 0;
+    std::size_t foreignUnreachable = 0;
+    /// Instances of any domain that answered of late, that were silent when asked, and whose machine refused the connection.
+    std::size_t heard = 0;
+    std::size_t silent = 0;
+    std::size_t refused = 0;
+};
+
+/// Decides whether this instance is cut off, so that clients are better served elsewhere: from the other failure domains, or from
+/// all instances. Silent instances of other domains alone prove nothing, since all of them may be down: members there have to be
+/// out of reach as well. A machine that lives refuses connections to a process that does not, so where several are silent and
+/// none refuses, this instance is the one that is cut off.
 ///
-///     isolation.peersSeen(reachable, unreachable, now);
+///     isolation.peersSeen(counts, now);
 ///     if (isolation.isLookDue(now)) { isolation.lookBegan(now); lookAtForeignMembers(); }
 ///     ...
 ///     isolation.membersSeen(reachable, unreachable, now);
 class Isolation
 {
 public:
-    /// Instances of other domains that answer, and that were asked in vain.
-    void peersSeen(std::size_t reachable, std::size_t unreachable, TimePoint now);
+    void peersSeen(const PeerCounts &peers, TimePoint now);
     bool isLookDue(TimePoint now) const;
     void lookBegan(TimePoint now)
     {
@@ -35,6 +47,7 @@
 
 private:
     bool m_arePeersSilent = false;
+    TimePoint m_aloneSince = longAgo;
     TimePoint m_lookedAt = longAgo;
     TimePoint m_isolatedSince = longAgo;
 };
--- a/decisions/src/session/grouphome.cpp
+++ b/decisions/src/session/grouphome.cpp
@@ -15,6 +15,7 @@
 constexpr Duration substituteRest = 1000ms; // without requests, after which a substitute starts over
 constexpr Duration coverMargin = 20ms;
 constexpr double avoidedPenalty = 1000; // taken only when there is no other
+constexpr double failurePenalty = 0.5; // for each statement that failed of late
 constexpr double primaryPenalty = 0.75; // reads leave the primary's slots to what only it can do
 
 } // namespace
@@ -146,8 +147,8 @@
         for (const Rank rank : allRanks) {
             waiting += static_cast<double>(member.queue.waiting(rank));
         }
-        const double cost
-            = waiting / std::max(1U, member.record.slots) + (isPrimary ? primaryPenalty : 0) + (id == work.avoided ? avoidedPenalty : 0);
+        const double cost = waiting / std::max(1U, member.record.slots) + (isPrimary ? primaryPenalty : 0)
+                            + (id == work.avoided ? avoidedPenalty : 0) + failurePenalty * member.failuresAt(now);
         if (best == nullptr || cost < bestCost) {
             best = &member;
             bestCost = cost;
--- a/decisions/src/session/grouphomemembers.cpp
+++ b/decisions/src/session/grouphomemembers.cpp
@@ -468,8 +468,13 @@
         member.applied = answer.position ? *answer.position : LogPosition{};
         member.distrustedUntil = now + distrustTime;
     }
-    const bool isRepeatable = isNotRun(answer.error) && answer.error != StatementError::Malformed && (!isInTransaction || opens);
-    if (isRepeatable) {
+    const bool isMembersFault
+        = answer.error == StatementError::Failed || answer.error == StatementError::Busy || answer.error == StatementError::TimedOut;
+    if (isMembersFault) {
+        noteFailure(member, now);
+    }
+    if (isRepeatable(work, answer.error)) {
+        m_work.at(number).avoided = id;
         retry(number, answer.error, std::string(statementErrorName(answer.error)), now);
     } else {
         HomeReply reply;
@@ -482,6 +487,24 @@
     }
 }
 
+/// Whether the statement may be sent once more after this error.
+bool GroupHome::isRepeatable(const Work &work, StatementError error)
+{
+    const ForwardedStatement &forwarded = work.request.forwarded;
+    const bool isInTransaction = !work.request.transaction.isNone();
+    if (error == StatementError::Malformed || (isInTransaction && !forwarded.opensTransaction)) {
+        return false;
+    }
+    // A read has no effect, and what opened a transaction was rolled back with it.
+    return isNotRun(error) || forwarded.isReadOnly || forwarded.opensTransaction;
+}
+
+void GroupHome::noteFailure(Member &member, TimePoint now)
+{
+    member.failures = member.failuresAt(now) + 1;
+    member.failedAt = now;
+}
+
 void GroupHome::rollBack(Member &member, ConnectionNumber number, TimePoint now)
 {
     MemberConnection *connection = member.connections.find(number);
@@ -725,6 +748,7 @@
             continue;
         }
         found->second.avoided = found->second.member;
+        noteFailure(m_members.at(found->second.member), now);
         m_effects.report({"read-stalled",
                           false,
                           {{"request", found->second.request.forwarded.statement.id},
--- a/decisions/src/session/isolation.cpp
+++ b/decisions/src/session/isolation.cpp
@@ -9,15 +9,25 @@
 {
 
 constexpr Duration lookPause = 400ms;
+constexpr Duration aloneTime = 500ms;
+constexpr std::size_t leastSilent = 3;
 constexpr Duration rotationTime = 2200ms; // until the balancer has missed two answers
 
 } // namespace
 
-void Isolation::peersSeen(std::size_t reachable, std::size_t unreachable, TimePoint)
+void Isolation::peersSeen(const PeerCounts &peers, TimePoint now)
 {
-    m_arePeersSilent = reachable == 0 && unreachable > 0;
-    if (reachable > 0) {
+    m_arePeersSilent = peers.foreignHeard == 0 && peers.foreignUnreachable > 0;
+    const bool isAlone = peers.heard == 0 && peers.refused == 0 && peers.silent >= leastSilent;
+    if (!isAlone) {
+        m_aloneSince = longAgo;
+    } else if (m_aloneSince == longAgo) {
+        m_aloneSince = now;
+    }
+    if (peers.foreignHeard > 0 || (peers.heard > 0 && !m_arePeersSilent)) {
         m_isolatedSince = longAgo;
+    } else if (isAlone && !isIsolated() && now - m_aloneSince >= aloneTime) {
+        m_isolatedSince = now;
     }
 }
 
@@ -28,9 +38,9 @@
 
 void Isolation::membersSeen(std::size_t reachable, std::size_t unreachable, TimePoint now)
 {
-    if (reachable > 0) {
+    if (reachable > 0 && m_aloneSince == longAgo) {
         m_isolatedSince = longAgo;
-    } else if (unreachable > 0 && m_arePeersSilent && !isIsolated()) {
+    } else if (reachable == 0 && unreachable > 0 && m_arePeersSilent && !isIsolated()) {
         m_isolatedSince = now;
     }
 }
--- a/decisions/test/session/grouphome_test.cpp
+++ b/decisions/test/session/grouphome_test.cpp
@@ -232,4 +232,88 @@
     CHECK(group.home.openTransactions() > 6);
 }
 
+namespace
+{
+
+/// Answers the statement `id` with an error; returns the member that it was sent to.
+MemberId failStatement(FakeGroup &group, const std::string &id, StatementError error)
+{
+    const auto found = std::find_if(group.sent.begin(), group.sent.end(), [&](const FakeGroup::Sent &each) {
+        return each.command.statement.id == id;
+    });
+    REQUIRE(found != group.sent.end());
+    const ConnectionNumber connection = found->connection;
+    group.sent.erase(found);
+    --group.owed[connection];
+    group.home.answered(connection, Answer::failure(error, "", SessionPhase::Idle), std::nullopt, group.now);
+    return group.owners.at(connection);
+}
+
+} // namespace
+
+TEST_CASE("A read that fails at one member is asked at another", "[grouphome]")
+{
+    FakeGroup group;
+    group.settle();
+    const HomeRequest request = group.read("r1", Consistency::BoundedAge);
+    group.home.request(request, group.now);
+    const MemberId first = failStatement(group, "r1", StatementError::Failed);
+    CHECK(group.replyTo(request.number) == nullptr);
+    const MemberId second = failStatement(group, "r1", StatementError::Busy);
+    CHECK(second != first);
+    group.answerAll();
+    REQUIRE(group.replyTo(request.number) != nullptr);
+    CHECK(group.replyTo(request.number)->answer.isSuccess());
+}
+
+TEST_CASE("A write that failed is not sent again", "[grouphome]")
+{
+    FakeGroup group;
+    group.settle();
+    const HomeRequest request = group.write("w1");
+    group.home.request(request, group.now);
+    failStatement(group, "w1", StatementError::Failed);
+    group.answerAll();
+    REQUIRE(group.replyTo(request.number) != nullptr);
+    CHECK(group.replyTo(request.number)->answer.error == StatementError::Failed);
+    CHECK(group.timesSent("w1") == 1);
+}
+
+TEST_CASE("The first statement of a transaction may be tried again after a failure, since its member rolls back", "[grouphome]")
+{
+    FakeGroup group;
+    group.settle();
+    HomeRequest request = group.write("t1");
+    request.transaction = {"entry", 1, 1};
+    request.forwarded.opensTransaction = true;
+    group.home.request(request, group.now);
+    group.answerNext(); // BEGIN
+    failStatement(group, "t1", StatementError::Failed);
+    group.answerAll();
+    REQUIRE(group.replyTo(request.number) != nullptr);
+    CHECK(group.replyTo(request.number)->answer.isSuccess());
+    CHECK(group.timesSent("t1") == 2);
+}
+
+TEST_CASE("Reads turn away from a member that fails many of them", "[grouphome]")
+{
+    FakeGroup group;
+    group.settle();
+    const auto isAtM2 = [&](const FakeGroup::Sent &each) {
+        return group.owners.at(each.connection) == MemberId("m2") && !each.command.statement.id.empty();
+    };
+    int late = 0;
+    for (int i = 0; i < 60; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        group.home.request(group.read(id, Consistency::BoundedAge), group.now);
+        while (std::any_of(group.sent.begin(), group.sent.end(), isAtM2)) {
+            failStatement(group, id, StatementError::Failed);
+            late += i >= 20 ? 1 : 0;
+        }
+        group.answerAll();
+        group.pass(10ms);
+    }
+    CHECK(late <= 4);
+}
+
 } // namespace rattanbeam::decisions::session::test
--- a/sessions/include/rattanbeam/sessions/internal/peerlinks.h
+++ b/sessions/include/rattanbeam/sessions/internal/peerlinks.h
@@ -36,6 +36,8 @@
     decisions::TimePoint heardAt(const std::string &address) const;
     /// Since when no answer has come; none while the instance answers, or was never asked.
     std::optional<decisions::TimePoint> unreachableSince(const std::string &address) const;
+    /// Whether the last try to reach the instance ended in silence rather than in a refusal.
+    bool wasSilent(const std::string &address) const;
     /// Opens a link, so that unreachableSince() tells something of it soon.
     void look(const std::string &address);
     /// Keeps links to these instances, and looks for their answers, also while nothing is sent.
@@ -53,6 +55,7 @@
         /// The last try failed: nothing is sent before the peer has answered again.
         bool isSuspect = false;
         decisions::TimePoint suspectSince = decisions::longAgo;
+        bool wasSilent = false;
         std::deque<Frame> unsent;
         std::uint64_t pingNumber = 0;
         decisions::TimePoint pingSentAt = decisions::longAgo;
@@ -69,7 +72,7 @@
     void ping(Link &link);
     static bool isPingDue(const Link &link, decisions::TimePoint now);
     void arrived(const std::string &address, std::uint64_t generation, const Frame &frame);
-    void fail(const std::string &address, std::uint64_t generation, const char *cause);
+    void fail(const std::string &address, std::uint64_t generation, bool isSilent);
 
     EventLoop &m_loop;
     Arrived m_arrived;
--- a/sessions/src/internal/peerlinks.cpp
+++ b/sessions/src/internal/peerlinks.cpp
@@ -96,7 +96,7 @@
         arrived(address, generation, frame);
     };
     events.ended = [this, address, generation] {
-        fail(address, generation, "ended");
+        fail(address, generation, false);
     };
     link.stream = connectInstance(m_loop, address, std::move(events));
     ping(link);
@@ -138,7 +138,7 @@
     m_arrived(address, frame);
 }
 
-void PeerLinks::fail(const std::string &address, std::uint64_t generation, const char *cause)
+void PeerLinks::fail(const std::string &address, std::uint64_t generation, bool isSilent)
 {
     Link &link = m_links[address];
     if (generation != link.generation || !link.stream) {
@@ -151,8 +151,10 @@
     link.backoff = wasEstablished ? decisions::Duration(leastBackoff / 4)
                                   : std::clamp<decisions::Duration>(link.backoff * 2, leastBackoff, mostBackoff);
     link.isSuspect = true;
+    link.wasSilent = isSilent;
     link.suspectSince = link.suspectSince == decisions::longAgo ? EventLoop::now() : link.suspectSince;
     link.nextTryAt = EventLoop::now() + link.backoff;
+    const char *cause = isSilent ? "silent" : "ended";
     LogEvent("peer-lost", LogLevel::Warning).with("peer", address).with("cause", cause).with("unsent", link.unsent.size());
     const std::deque<Frame> unsent = std::exchange(link.unsent, {});
     m_lost(address, unsent);
@@ -185,6 +187,12 @@
     return isSilent ? std::optional(found->second.suspectSince) : std::nullopt;
 }
 
+bool PeerLinks::wasSilent(const std::string &address) const
+{
+    const auto found = m_links.find(address);
+    return found != m_links.end() && found->second.wasSilent;
+}
+
 void PeerLinks::look(const std::string &address)
 {
     Link &link = m_links[address];
@@ -212,7 +220,7 @@
         }
     }
     for (const auto &[address, generation] : silent) {
-        fail(address, generation, "silent");
+        fail(address, generation, true);
     }
 }
 
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -81,6 +81,7 @@
     void keepRelays();
     void scheduleCare();
     void careForInstances();
+    decisions::session::PeerCounts countPeers(TimePoint now) const;
     void watchIsolation();
     bool isInCare(const InstanceRecord &instance, TimePoint now) const;
     void announceAway();
@@ -260,20 +261,29 @@
     directory.peerKnows(peer);
 }
 
-/// Clients of an instance that is cut off from the other domains are served better elsewhere.
-void SessionInstance::Parts::watchIsolation()
+decisions::session::PeerCounts SessionInstance::Parts::countPeers(TimePoint now) const
 {
-    const TimePoint now = EventLoop::now();
-    std::size_t reachable = 0;
-    std::size_t unreachable = 0;
+    decisions::session::PeerCounts peers;
     for (const auto &[name, record] : directory.instanceRecords()) {
         const auto &instance = std::get<InstanceRecord>(record.value);
-        if (instance.domain != settings.domain) {
-            reachable += now - links.heardAt(instance.address) < heardLately ? 1 : 0;
-            unreachable += links.unreachableSince(instance.address) ? 1 : 0;
+        const bool isForeign = instance.domain != settings.domain;
+        if (now - links.heardAt(instance.address) < heardLately) {
+            ++peers.heard;
+            peers.foreignHeard += isForeign ? 1 : 0;
+        } else if (links.unreachableSince(instance.address)) {
+            ++(links.wasSilent(instance.address) ? peers.silent : peers.refused);
+            peers.foreignUnreachable += isForeign ? 1 : 0;
         }
     }
-    isolation.peersSeen(reachable, unreachable, now);
+    return peers;
+}
+
+/// Clients of an instance that is cut off are served better elsewhere.
+void SessionInstance::Parts::watchIsolation()
+{
+    const TimePoint now = EventLoop::now();
+    const decisions::session::PeerCounts peers = countPeers(now);
+    isolation.peersSeen(peers, now);
     if (isolation.isLookDue(now)) {
         isolation.lookBegan(now);
         homes.lookAtForeignMembers([this](std::size_t reached, std::size_t silent) {
@@ -282,8 +292,9 @@
     }
     if (std::exchange(isIsolationReported, isolation.isIsolated()) != isolation.isIsolated()) {
         LogEvent(isIsolationReported ? "isolated" : "isolation-ended", LogLevel::Warning)
-            .with("peers_reached", reachable)
-            .with("peers_silent", unreachable)
+            .with("peers_heard", peers.heard)
+            .with("peers_silent", peers.silent)
+            .with("peers_refused", peers.refused)
             .with("sessions", entry.sessions());
     }
     if (isolation.areClientsSentElsewhere(now)) {
