A home that has lost sight of the term sends new work elsewhere at once

Ruled out: the relays (the side without the store said store-lost within 0.7 s), the failover (other side: 8.50 suspected, 11.19 changed, 1.65 s of it the wait for the lease). Change: beyond the lease and 300 ms without evidence new work for the primary goes elsewhere unrun, and reads that wait are given up; writes that ran go on waiting, since the cut may heal. Test fails first: grouphome 'has lost sight'.

--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -258,6 +258,8 @@
     void adoptTerm(const TermRecord &record, TimePoint now);
     void dropSupersededWork(TimePoint now);
     void renewEvidence(TimePoint now);
+    void keepSight(TimePoint now);
+    bool isBlind(TimePoint now) const;
     void superviseIdle(TimePoint now);
     void advanceFencing(TimePoint now);
     void samplePrimary(const LogPosition &position, TimePoint sentAt, TimePoint now);
@@ -313,6 +315,8 @@
     TimePoint m_lastRequestAt = longAgo;
     /// Since when requests have come without a rest.
     TimePoint m_substituteSince = longAgo;
+    /// When there was evidence of the term, or no need of it.
+    TimePoint m_sightedAt = longAgo;
     TimePoint m_unfitUntil = longAgo;
     TimePoint m_fencedSince = longAgo;
     /// Since when no member of the latest term could be found to lead.
--- a/decisions/src/session/grouphome.cpp
+++ b/decisions/src/session/grouphome.cpp
@@ -84,7 +84,7 @@
 
 void GroupHome::dispatchToPrimary(WorkNumber number, TimePoint now)
 {
-    if (m_change.stage == Change::None && now < m_unfitUntil) {
+    if (m_change.stage == Change::None && (now < m_unfitUntil || isBlind(now))) {
         moveElsewhere(number, now);
         return;
     }
--- a/decisions/src/session/grouphomefailover.cpp
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -15,6 +15,8 @@
 constexpr Duration termWritePause = 300ms;
 constexpr Duration suspicionPause = 300ms; // before peers are asked again
 constexpr Duration unfitFor = 1000ms;
+constexpr Duration blindAfter = 300ms; // beyond the lease
+constexpr Duration blindMemory = 5000ms; // without requests, after which a home may be tried again
 constexpr Duration fenceTimeout = 500ms;
 constexpr Duration orderRetry = 250ms;
 constexpr Duration orderEvidence = 400ms; // oldest sight of the own term that allows an order
@@ -136,7 +138,9 @@
         if (found == m_work.end()) {
             continue;
         }
-        const bool isOver = awaiting.generation != m_lease.generation() || now >= found->second.request.deadline;
+        // A read that cannot be shown to be fresh is better asked elsewhere.
+        const bool isGivenUp = !awaiting.mayHaveWritten && isBlind(now);
+        const bool isOver = awaiting.generation != m_lease.generation() || now >= found->second.request.deadline || isGivenUp;
         if (!isOver) {
             kept.push_back(std::move(awaiting));
         } else if (awaiting.mayHaveWritten) {
@@ -666,10 +670,26 @@
     setStage(Change::Quiescing, now + m_limits.quiesceLimit);
 }
 
+/// Whether evidence has been missing for so long that answers of the primary could not be passed on.
+bool GroupHome::isBlind(TimePoint now) const
+{
+    const bool hasEvidence = now - m_lease.evidence() < m_limits.leaseLength;
+    return !hasEvidence && m_sightedAt != longAgo && now - m_sightedAt > blindAfter;
+}
+
+void GroupHome::keepSight(TimePoint now)
+{
+    const bool hasEvidence = now - m_lease.evidence() < m_limits.leaseLength;
+    const bool isUnused = isBlind(now) ? now - m_lastRequestAt > blindMemory : isQuiet();
+    if (hasEvidence || isUnused || m_change.stage != Change::None || m_sightedAt == longAgo) {
+        m_sightedAt = now;
+    }
+}
+
 /// Evidence that replicas cannot give is read from the store.
 void GroupHome::renewEvidence(TimePoint now)
 {
-    const bool isNeeded = m_isFirst || !isQuiet();
+    const bool isNeeded = m_isFirst || !isQuiet() || isBlind(now);
     if (isNeeded && isPrimaryUsable() && now - m_lease.evidence() > m_limits.leaseLength / 2
         && now - m_termReadAt > m_limits.statusInterval) {
         m_termReadAt = now;
--- a/decisions/src/session/grouphomemembers.cpp
+++ b/decisions/src/session/grouphomemembers.cpp
@@ -674,7 +674,8 @@
                 askPeersAhead(member, now);
             }
         }
-        if (member.health == Health::Up && (m_isFirst || !isQuiet()) && now - member.statusSentAt >= m_limits.statusInterval) {
+        if (member.health == Health::Up && (m_isFirst || !isQuiet() || isBlind(now))
+            && now - member.statusSentAt >= m_limits.statusInterval) {
             askStatus(member, now);
         }
         keepConnections(member, now);
@@ -683,6 +684,7 @@
     for (const MemberId &id : gone) {
         removeMember(id, now);
     }
+    keepSight(now);
     endOverdue(now);
     moveStalledReads(now);
     refuseHeld(now);
--- a/decisions/test/session/grouphome_test.cpp
+++ b/decisions/test/session/grouphome_test.cpp
@@ -223,6 +223,7 @@
         HomeRequest request = group.write("t" + std::to_string(i));
         request.transaction = {"entry", static_cast<std::uint64_t>(i), 1};
         request.forwarded.opensTransaction = true;
+        group.home.termSeen(group.stored, group.revision, group.now, group.now); // evidence of the term
         group.home.request(request, group.now);
         group.answerAll();
         group.now += 15ms; // no timer fires, so that no status request opens a connection
@@ -316,4 +317,42 @@
     CHECK(late <= 4);
 }
 
+TEST_CASE("A home that has lost sight of the term sends new work elsewhere at once, and takes it again with new evidence", "[grouphome]")
+{
+    FakeGroup group;
+    group.settle();
+    // Only the primary is within reach: neither replicas nor the store show whether it was replaced.
+    const auto answerPrimary = [&] {
+        for (std::size_t i = 0; i < group.sent.size();) {
+            if (group.owners.at(group.sent[i].connection) == MemberId("m1")) {
+                std::rotate(group.sent.begin(),
+                            group.sent.begin() + static_cast<std::ptrdiff_t>(i),
+                            group.sent.begin() + static_cast<std::ptrdiff_t>(i) + 1);
+                group.answerNext();
+                i = 0;
+            } else {
+                ++i;
+            }
+        }
+    };
+    for (int i = 0; i < 300; ++i) {
+        group.pass(10ms);
+        answerPrimary();
+        if (i % 20 == 0) {
+            group.home.request(group.write("k" + std::to_string(i)), group.now);
+        }
+    }
+    const HomeRequest blind = group.write("w1");
+    group.home.request(blind, group.now);
+    REQUIRE(group.replyTo(blind.number) != nullptr);
+    CHECK(group.replyTo(blind.number)->isElsewhere);
+    CHECK(group.timesSent("w1") == 0);
+    group.home.termSeen(group.stored, group.revision, group.now, group.now);
+    group.pass(20ms);
+    const HomeRequest sighted = group.write("w2");
+    group.home.request(sighted, group.now);
+    answerPrimary();
+    CHECK(group.timesSent("w2") == 1);
+}
+
 } // namespace rattanbeam::decisions::session::test
