A home that cannot write the term leaves the change of primary to another home

Ruled out: its members (two replicas answered), isolation (it heard other instances), caps. Change: after a term that the store did not take, work goes elsewhere for 1 s, doubled with each failure in a row up to 8 s, so that a substitute that reaches the store begins the change. Test fails first: grouphomefailover 'leaves the change'.

--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -74,7 +74,7 @@
     /// The term record as the store showed it to a read or watch that began at `startedAt`; none when there is no record.
     void termSeen(const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt, TimePoint now);
     /// Outcome of writeTerm() when the record was not written.
-    void termWriteFailed(TimePoint now);
+    void termWriteFailed(TermWriteFailure failure, TimePoint now);
     void peersAnswered(const MemberId &member, std::size_t reachable, std::size_t unreachable, TimePoint now);
     void homeYielded(const std::string &home, std::uint64_t generation, TimePoint now);
     void promotionAnswered(const MemberId &member, PromotionResult result, TimePoint now);
@@ -258,6 +258,7 @@
     void adoptTerm(const TermRecord &record, TimePoint now);
     void dropSupersededWork(TimePoint now);
     void renewEvidence(TimePoint now);
+    void leaveToOthers(TimePoint now);
     void keepSight(TimePoint now);
     bool isBlind(TimePoint now) const;
     void superviseIdle(TimePoint now);
@@ -318,6 +319,8 @@
     /// When there was evidence of the term, or no need of it.
     TimePoint m_sightedAt = longAgo;
     TimePoint m_unfitUntil = longAgo;
+    /// Changes in a row that ended because the store did not take the term.
+    std::uint32_t m_failedTermWrites = 0;
     TimePoint m_fencedSince = longAgo;
     /// Since when no member of the latest term could be found to lead.
     TimePoint m_noCandidateSince = longAgo;
--- a/decisions/include/rattanbeam/decisions/session/homemessages.h
+++ b/decisions/include/rattanbeam/decisions/session/homemessages.h
@@ -91,6 +91,11 @@
     Unavailable,
 };
 
+enum class TermWriteFailure {
+    Overtaken, ///< Another home wrote first.
+    StoreAway, ///< The store did not answer, or turned the call away.
+};
+
 /// One line of the log, decided where the belief changes.
 struct HomeEvent {
     std::string_view name;
--- a/decisions/src/session/grouphomefailover.cpp
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -209,6 +209,7 @@
         return;
     }
     m_termRevision = revision;
+    m_failedTermWrites = startedAt == longAgo ? m_failedTermWrites : 0; // the store answered
     const bool isListed = std::find(record->homes.begin(), record->homes.end(), m_self) != record->homes.end();
     if (isListed) {
         m_isWritingTerm = false;
@@ -301,17 +302,28 @@
     }
 }
 
-void GroupHome::termWriteFailed(TimePoint now)
+void GroupHome::termWriteFailed(TermWriteFailure failure, TimePoint now)
 {
     m_isWritingTerm = false;
     m_termWriteAt = now;
     if (m_change.stage == Change::WritingTerm) {
+        if (failure == TermWriteFailure::StoreAway) {
+            leaveToOthers(now);
+        }
         abandonChange("term-not-written", now);
     }
     m_termReadAt = now;
     m_effects.readTerm();
 }
 
+/// Another home may reach the store.
+void GroupHome::leaveToOthers(TimePoint now)
+{
+    constexpr std::uint32_t mostDoublings = 3;
+    m_unfitUntil = now + unfitFor * (1U << std::min(m_failedTermWrites, mostDoublings));
+    ++m_failedTermWrites;
+}
+
 void GroupHome::setStage(Change stage, TimePoint until)
 {
     m_effects.report({"primary-change",
@@ -792,6 +804,7 @@
     }
     case Change::WritingTerm:
         if (now >= m_change.stageUntil) {
+            leaveToOthers(now);
             abandonChange("term-write-silent", now);
             m_termReadAt = now;
             m_effects.readTerm();
--- a/decisions/test/session/grouphomefailover_test.cpp
+++ b/decisions/test/session/grouphomefailover_test.cpp
@@ -207,4 +207,41 @@
     CHECK(group.orders.front().first == MemberId("m2"));
 }
 
+TEST_CASE("A home that cannot write the term leaves the change of primary to another home", "[grouphomefailover]")
+{
+    FakeGroup group;
+    group.settle();
+    loseMember(group, "m1");
+    const HomeRequest waiting = group.write("w1");
+    group.home.request(waiting, group.now);
+    group.home.peersAnswered(MemberId("m1"), 0, 2, group.now);
+    group.home.termWriteFailed(TermWriteFailure::StoreAway, group.now);
+    REQUIRE(group.replyTo(waiting.number) != nullptr);
+    CHECK(group.replyTo(waiting.number)->isElsewhere);
+    const HomeRequest next = group.write("w2");
+    group.home.request(next, group.now);
+    REQUIRE(group.replyTo(next.number) != nullptr);
+    CHECK(group.replyTo(next.number)->isElsewhere);
+    const std::size_t tries = group.writes.size();
+    runUntil(group, [] {
+        return false; // two seconds
+    });
+    CHECK(group.writes.size() <= tries + 1); // ever more seldom
+}
+
+TEST_CASE("A home whose record of the term was overtaken goes on", "[grouphomefailover]")
+{
+    FakeGroup group;
+    group.settle();
+    loseMember(group, "m1");
+    group.home.peersAnswered(MemberId("m1"), 0, 2, group.now);
+    TermRecord other = *group.stored;
+    other.homes.push_back("b1/1");
+    group.home.termSeen(other, ++group.revision, group.now, group.now);
+    group.home.termWriteFailed(TermWriteFailure::Overtaken, group.now);
+    const HomeRequest request = group.write("w1");
+    group.home.request(request, group.now);
+    CHECK(group.replyTo(request.number) == nullptr);
+}
+
 } // namespace rattanbeam::decisions::session::test
--- a/decisions/test/session/groupschedule.h
+++ b/decisions/test/session/groupschedule.h
@@ -151,7 +151,7 @@
                     schedule.m_revision = ++schedule.m_storeRevision;
                     machine.termSeen(record, schedule.m_revision, startedAt, schedule.m_now);
                 } else {
-                    machine.termWriteFailed(schedule.m_now);
+                    machine.termWriteFailed(reachesStore ? TermWriteFailure::Overtaken : TermWriteFailure::StoreAway, schedule.m_now);
                 }
             });
         }
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -136,7 +136,8 @@
             }
             if (outcome != StoreOutcome::Done) {
                 LogEvent("term-write-failed", LogLevel::Warning).with("service", m_name).with("outcome", static_cast<int>(outcome));
-                m_home.termWriteFailed(EventLoop::now());
+                const bool isStoreAway = outcome == StoreOutcome::Unavailable || outcome == StoreOutcome::Unknown;
+                m_home.termWriteFailed(isStoreAway ? TermWriteFailure::StoreAway : TermWriteFailure::Overtaken, EventLoop::now());
             }
         };
         m_service.m_ports.store->write(Collection::Terms, m_name.text(), record, expectedRevision, answered);
