--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -199,7 +199,7 @@
         TimePoint lastOrderAt = longAgo;
     };
 
-    // Requests: grouphome.cpp
+    // Requests
     bool needsPrimary(const HomeRequest &request) const;
     void dispatch(WorkNumber number, TimePoint now);
     void dispatchToPrimary(WorkNumber number, TimePoint now);
@@ -219,7 +219,7 @@
     void moveElsewhere(WorkNumber number, TimePoint now);
     std::string retryHint(TimePoint at, TimePoint now) const;
 
-    // Members and their connections: grouphomemembers.cpp
+    // Members and their connections
     Member *memberOf(ConnectionNumber connection);
     MemberConnection *connectionOf(ConnectionNumber connection, Member **member);
     void openConnection(Member &member, TimePoint now);
@@ -249,7 +249,7 @@
     void refuseHeld(TimePoint now);
     void endIdleTransactions(TimePoint now);
 
-    // The lease and the change of primary: grouphomefailover.cpp
+    // The lease and the change of primary
     bool isPrimaryUsable() const;
     void deliverFromPrimary(WorkNumber number, const HomeReply &reply, bool mayHaveWritten, TimePoint sentAt, TimePoint now);
     void releaseEvidenced(TimePoint now);
--- a/sessions/include/rattanbeam/sessions/internal/homeservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/homeservice.h
@@ -76,6 +76,7 @@
     };
 
     Group *group(const ServiceName &service);
+    decisions::session::GroupHome &homeOf(const ServiceName &service);
     void feedGroup(Group &group);
     bool isFirstHome(const ServiceName &service) const;
     void planFleet();
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -1,11 +1,11 @@
 #include "rattanbeam/sessions/sessioninstance.h"
 
-#include "rattanbeam/decisions/session/isolation.h"
 #include "rattanbeam/decisions/session/lagmeter.h"
 #include "rattanbeam/kernel/logevent.h"
 #include "rattanbeam/kernel/metrics.h"
 #include "rattanbeam/sessions/internal/directory.h"
 #include "rattanbeam/sessions/internal/entryservice.h"
+#include "rattanbeam/sessions/internal/fleetwatch.h"
 #include "rattanbeam/sessions/internal/homeservice.h"
 #include "rattanbeam/sessions/internal/instancelink.h"
 #include "rattanbeam/sessions/internal/peerlinks.h"
@@ -30,10 +30,6 @@
 constexpr decisions::Duration rotationDelay = 2200ms; // until the balancer sends no more connections
 constexpr decisions::Duration exitSlack = 900ms; // before the grace ends
 constexpr decisions::Duration registerRetry = 300ms;
-constexpr decisions::Duration isolationInterval = 100ms;
-constexpr decisions::Duration heardLately = 900ms; // links are asked every 500 ms
-constexpr decisions::Duration careInterval = 3s;
-constexpr decisions::Duration goneAfter = 10s; // without an answer, until a registration is removed
 constexpr decisions::Duration snapshotDelay = 700ms; // a start without the store asks peers after this
 
 std::uint64_t startTimeMs()
@@ -67,6 +63,7 @@
               })
         , homes(loop, settings, incarnation, directory, links, ports)
         , entry(loop, settings, directory, links, homes, metrics)
+        , watch(loop, settings, *ports.store, directory, links, homes, entry)
     {}
 
     bool start();
@@ -79,11 +76,6 @@
     void peerKnows(const std::string &address, const link::v1::Pong &pong, TimePoint askedAt);
     void fleetChanged();
     void keepRelays();
-    void scheduleCare();
-    void careForInstances();
-    decisions::session::PeerCounts countPeers(TimePoint now) const;
-    void watchIsolation();
-    bool isInCare(const InstanceRecord &instance, TimePoint now) const;
     void announceAway();
     void askForSnapshot();
     internal::FrameEvents acceptPeer(const std::shared_ptr<internal::FrameStream> &stream);
@@ -100,12 +92,11 @@
     internal::PeerLinks links;
     internal::HomeService homes;
     internal::EntryService entry;
+    internal::FleetWatch watch;
     std::unique_ptr<internal::InstanceServer> server;
     std::set<std::shared_ptr<internal::FrameStream>> peerStreams;
     std::uint64_t lastPeer = 0;
     decisions::session::LagMeter lagMeter{tickInterval};
-    decisions::session::Isolation isolation;
-    bool isIsolationReported = false;
     std::uint64_t ownRevision = 0;
     bool isRegistering = false;
     bool isLeaving = false;
@@ -131,7 +122,7 @@
 
 bool SessionInstance::isReady() const
 {
-    return m_parts->directory.isReady() && !m_parts->isLeaving && !m_parts->isolation.isIsolated();
+    return m_parts->directory.isReady() && !m_parts->isLeaving && !m_parts->watch.isIsolated();
 }
 
 void SessionInstance::drain(std::function<void()> closeFront, const std::function<void()> &stopped)
@@ -181,7 +172,7 @@
     directory.start();
     registerSelf();
     scheduleTick();
-    scheduleCare();
+    watch.start();
     loop.after(snapshotDelay, [this] {
         askForSnapshot();
     });
@@ -261,96 +252,6 @@
     directory.peerKnows(peer);
 }
 
-decisions::session::PeerCounts SessionInstance::Parts::countPeers(TimePoint now) const
-{
-    decisions::session::PeerCounts peers;
-    for (const auto &[name, record] : directory.instanceRecords()) {
-        const auto &instance = std::get<InstanceRecord>(record.value);
-        const bool isForeign = instance.domain != settings.domain;
-        if (now - links.heardAt(instance.address) < heardLately) {
-            ++peers.heard;
-            peers.foreignHeard += isForeign ? 1 : 0;
-        } else if (links.unreachableSince(instance.address)) {
-            ++(links.wasSilent(instance.address) ? peers.silent : peers.refused);
-            peers.foreignUnreachable += isForeign ? 1 : 0;
-        }
-    }
-    return peers;
-}
-
-/// Clients of an instance that is cut off are served better elsewhere.
-void SessionInstance::Parts::watchIsolation()
-{
-    const TimePoint now = EventLoop::now();
-    const decisions::session::PeerCounts peers = countPeers(now);
-    isolation.peersSeen(peers, now);
-    if (isolation.isLookDue(now)) {
-        isolation.lookBegan(now);
-        homes.lookAtForeignMembers([this](std::size_t reached, std::size_t silent) {
-            isolation.membersSeen(reached, silent, EventLoop::now());
-        });
-    }
-    if (std::exchange(isIsolationReported, isolation.isIsolated()) != isolation.isIsolated()) {
-        LogEvent(isIsolationReported ? "isolated" : "isolation-ended", LogLevel::Warning)
-            .with("peers_heard", peers.heard)
-            .with("peers_silent", peers.silent)
-            .with("peers_refused", peers.refused)
-            .with("sessions", entry.sessions());
-    }
-    if (isolation.areClientsSentElsewhere(now)) {
-        entry.closeResting();
-    }
-}
-
-void SessionInstance::Parts::scheduleCare()
-{
-    loop.every(isolationInterval, [this] {
-        watchIsolation();
-    });
-    loop.every(careInterval, [this] {
-        careForInstances();
-    });
-}
-
-/// Whether this is the first of the instance's caretakers that is alive.
-bool SessionInstance::Parts::isInCare(const InstanceRecord &instance, TimePoint now) const
-{
-    for (const InstanceRecord &caretaker : decisions::session::caretakersOf(instance, homes.relays())) {
-        if (caretaker.id == settings.instance) {
-            return true;
-        }
-        const auto since = links.unreachableSince(caretaker.address);
-        if (!since || now - *since < goneAfter) {
-            return false;
-        }
-    }
-    return false;
-}
-
-/// Registrations do not expire by themselves: one whose instance answers nobody is removed. An instance that was only cut off
-/// registers anew.
-void SessionInstance::Parts::careForInstances()
-{
-    if (!homes.isRelay() || isAway() || !directory.isStoreReachable()) {
-        return;
-    }
-    const TimePoint now = EventLoop::now();
-    for (const auto &[name, record] : directory.instanceRecords()) {
-        const auto &instance = std::get<InstanceRecord>(record.value);
-        if (instance.id == settings.instance || !isInCare(instance, now)) {
-            continue;
-        }
-        links.look(instance.address);
-        const auto since = links.unreachableSince(instance.address);
-        if (since && now - *since > goneAfter) {
-            LogEvent("instance-removed", LogLevel::Warning)
-                .with("peer", instance.id)
-                .with("unreachable_ms", decisions::millisecondsUntil(now, *since));
-            ports.store->remove(Collection::Instances, name, record.revision, [](StoreOutcome, const std::optional<Record> &) {});
-        }
-    }
-}
-
 bool SessionInstance::Parts::isAway() const
 {
     return isLeaving || lagMeter.isOverloaded();
@@ -360,6 +261,7 @@
 void SessionInstance::Parts::announceAway()
 {
     homes.setAway(isAway());
+    watch.setAway(isAway());
     for (const auto &stream : peerStreams) {
         link::v1::Frame frame;
         frame.mutable_pong()->set_leaving(isAway());
--- a/systemtests/include/rattanbeam/systemtests/soak/soakfleet.h
+++ b/systemtests/include/rattanbeam/systemtests/soak/soakfleet.h
@@ -75,6 +75,7 @@
     };
     using Undo = std::function<void()>;
 
+    static std::uint64_t unixMs();
     void writeSettings(Instance &instance);
     void startInstance(Instance &instance);
     void tick();
