--- a/decisions/src/session/homeplan.cpp
+++ b/decisions/src/session/homeplan.cpp
@@ -90,6 +90,7 @@
         }
     }
     std::vector<InstanceRecord> planned;
+    planned.reserve(relays.size());
     for (const auto &[id, relay] : relays) {
         planned.push_back(relay);
     }
--- a/sessions/test/sessioninstance_test.cpp
+++ b/sessions/test/sessioninstance_test.cpp
@@ -125,6 +125,9 @@
     CHECK_FALSE(asksForSessions("[instance]\nname = a1\n"));
     CHECK_FALSE(parseSessionSettings(good + "[limits]\ngrace = soon\n"));
     CHECK_FALSE(parseSessionSettings(good + "[limits]\ngrce = 6s\n"));
+    CHECK(parseSessionSettings(good + "[limits]\nprocessor-share = 0.25\nprocessor-speed = 2\n")->processorMilli == 500);
+    CHECK_FALSE(parseSessionSettings(good + "[limits]\nprocessor-share = 0\n"));
+    CHECK_FALSE(parseSessionSettings(good + "[limits]\nprocessor-share = 1e\n"));
     CHECK_FALSE(parseSessionSettings("[interface]\nkind = sessions\n"));
     const auto error = parseSessionSettings(good + "[peers]\nseeds = 10.0.0.1\n");
     REQUIRE_FALSE(error);
