A statement waits for the write of the one before it on a member's connection

On a busy machine the member's answer came first, and the next statement's write aborted the instance (assertion !byte_buffer->Valid()). Change: frames are queued in the reactor. Words: a few comments of memberclient, and statusAfresh is now statusOnNewConnection.

--- a/proxy/include/rattanbeam/proxy/internal/memberclient.h
+++ b/proxy/include/rattanbeam/proxy/internal/memberclient.h
@@ -13,7 +13,7 @@
 {
 
 /// Control calls to backend servers: status, confirmation, fencing, promotion. They do not count against a member's
-/// connections. Callbacks run on threads of the library; a null reply means that no answer came.
+/// connections. Callbacks run on gRPC's threads; a null reply means that there was none by the deadline.
 class MemberClient
 {
 public:
@@ -26,8 +26,8 @@
     ~MemberClient();
 
     void status(const std::string &address, decisions::TimePoint deadline, const StatusCallback &callback);
-    /// As status(), on a new connection of its own; it replaces the old one when it works.
-    void statusAfresh(const std::string &address, decisions::TimePoint deadline, StatusCallback callback);
+    /// As status(), on a new connection, which replaces the old one if the member answers.
+    void statusOnNewConnection(const std::string &address, decisions::TimePoint deadline, StatusCallback callback);
     void waitHeld(
         const std::string &address, decisions::Term term, std::uint64_t position, decisions::TimePoint deadline, StatusCallback callback);
     void fence(const std::string &address, const decisions::FenceMember &fence, decisions::TimePoint deadline, ReplyCallback callback);
@@ -44,11 +44,11 @@
     std::shared_ptr<Channels> m_channels;
 };
 
-/// What happens on one connection to a member. Called on threads of the library, never after closed().
+/// Events of one connection to a member. Called on gRPC's threads, never after closed().
 struct ConnectionEvents {
     std::function<void()> opened;
     std::function<void(const backend::v1::AnswerFrame &)> answered;
-    /// Once, also after a failure to open.
+    /// Called once, also if the connection could not be opened.
     std::function<void()> closed;
 };
 
@@ -62,7 +62,7 @@
     /// Closes the connection; closed() still follows.
     ~MemberConnection();
 
-    /// One statement at a time.
+    /// Statements are sent in the order of the calls.
     void send(const backend::v1::StatementFrame &frame);
 
 private:
--- a/proxy/src/internal/memberclient.cpp
+++ b/proxy/src/internal/memberclient.cpp
@@ -4,6 +4,8 @@
 
 #include "backend.grpc.pb.h"
 
+#include <deque>
+
 namespace rattanbeam::proxy::internal
 {
 
@@ -12,7 +14,7 @@
 
 using Stub = backend::v1::Member::Stub;
 
-/// Hands the reply on, or null when no answer came.
+/// Passes the reply to the callback; null if there was no reply.
 template<typename Reply>
 auto replyOrNull(std::function<void(const Reply *)> callback)
 {
@@ -45,13 +47,13 @@
     callStatus(m_channels->find(address), deadline, callback);
 }
 
-void MemberClient::statusAfresh(const std::string &address, decisions::TimePoint deadline, StatusCallback callback)
+void MemberClient::statusOnNewConnection(const std::string &address, decisions::TimePoint deadline, StatusCallback callback)
 {
-    const std::shared_ptr<Stub> fresh = backend::v1::Member::NewStub(openChannel(address, true));
+    const std::shared_ptr<Stub> newStub = backend::v1::Member::NewStub(openChannel(address, true));
     const auto channels = m_channels;
-    callStatus(fresh, deadline, [channels, fresh, address, callback = std::move(callback)](const backend::v1::MemberStatus *reply) {
+    callStatus(newStub, deadline, [channels, newStub, address, callback = std::move(callback)](const backend::v1::MemberStatus *reply) {
         if (reply != nullptr) {
-            channels->replace(address, fresh);
+            channels->replace(address, newStub);
         }
         callback(reply);
     });
@@ -63,7 +65,7 @@
     backend::v1::WaitHeldRequest request;
     request.set_term(term);
     request.set_position(position);
-    // Answers before the deadline, so that a late member is told from a lost one.
+    // Half of the time left, so that a slow member's reply arrives before the deadline and is not taken for a lost one.
     request.set_wait_ms(decisions::millisecondsUntil(deadline, std::chrono::steady_clock::now()) / 2);
     const auto invoke = [](auto &calls, auto &call, auto ended) {
         calls.WaitHeld(&call.context, &call.request, &call.reply, std::move(ended));
@@ -118,7 +120,7 @@
         m_channels->find(address), request, deadline, invoke, replyOrNull<backend::v1::MemberReply>(std::move(callback)));
 }
 
-/// Keeps itself alive until the library says that the stream is done.
+/// Owns itself until gRPC reports that the call is done.
 class MemberConnection::Reactor : public grpc::ClientBidiReactor<backend::v1::StatementFrame, backend::v1::AnswerFrame>
 {
 public:
@@ -136,14 +138,18 @@
         StartCall();
     }
 
+    /// gRPC allows one write at a time. A member's answer may arrive before OnWriteDone() of its statement, and the next statement then
+    /// waits here.
     void send(const backend::v1::StatementFrame &frame)
     {
         const std::lock_guard lock(m_mutex);
         if (m_isClosing) {
             return;
         }
-        m_frame = frame;
-        StartWrite(&m_frame);
+        m_frames.push_back(frame);
+        if (m_frames.size() == 1) {
+            StartWrite(&m_frames.front());
+        }
     }
 
     void close()
@@ -179,6 +185,12 @@
     {
         if (!isOk) {
             close();
+            return;
+        }
+        const std::lock_guard lock(m_mutex);
+        m_frames.pop_front();
+        if (!m_isClosing && !m_frames.empty()) {
+            StartWrite(&m_frames.front());
         }
     }
 
@@ -192,7 +204,8 @@
     std::unique_ptr<Stub> m_stub;
     ConnectionEvents m_events;
     grpc::ClientContext m_context;
-    backend::v1::StatementFrame m_frame;
+    /// Frames to be written; the one being written is at the front.
+    std::deque<backend::v1::StatementFrame> m_frames;
     backend::v1::AnswerFrame m_answer;
     std::mutex m_mutex;
     bool m_isClosing = false;
--- a/proxy/src/internal/observerservice.cpp
+++ b/proxy/src/internal/observerservice.cpp
@@ -237,7 +237,7 @@
     };
     const auto deadline = askedAt + m_context->settings.probeTimeout;
     if (probe.isOnNewConnection) {
-        m_context->members.statusAfresh(addressOf(observer, probe.member), deadline, callback);
+        m_context->members.statusOnNewConnection(addressOf(observer, probe.member), deadline, callback);
     } else {
         m_context->members.status(addressOf(observer, probe.member), deadline, callback);
     }
