--- a/decisions/include/rattanbeam/decisions/session/fleetrecords.h
+++ b/decisions/include/rattanbeam/decisions/session/fleetrecords.h
@@ -98,6 +98,9 @@
     /// Term in which the primary leads; the previous term while a change of primary is in progress. A member that leads an
     /// earlier term was replaced.
     std::uint64_t term = 0;
+    /// Replicas of which one that is not fenced is enough evidence for a lease holder. A change of primary fences them all, or waits until
+    /// such evidence has expired. Only grows within a generation.
+    std::vector<MemberId> witnesses{};
 
     auto operator<=>(const TermRecord &) const = default;
 };
--- a/sessions/src/internal/directorysnapshot.cpp
+++ b/sessions/src/internal/directorysnapshot.cpp
@@ -116,16 +116,22 @@
         message.add_homes(home);
     }
     message.set_term(term.term);
+    for (const MemberId &witness : term.witnesses) {
+        message.add_witnesses(witness.text());
+    }
     message.set_revision(record.revision);
 }
 
 Record termRecordFrom(const link::v1::TermEntry &message)
 {
-    const TermRecord term{ServiceName(message.service()),
-                          message.generation(),
-                          MemberId(message.primary()),
-                          std::vector<std::string>(message.homes().begin(), message.homes().end()),
-                          message.term()};
+    TermRecord term{ServiceName(message.service()),
+                    message.generation(),
+                    MemberId(message.primary()),
+                    std::vector<std::string>(message.homes().begin(), message.homes().end()),
+                    message.term()};
+    for (const std::string &witness : message.witnesses()) {
+        term.witnesses.emplace_back(witness);
+    }
     return {message.service(), message.revision(), false, term};
 }
 
@@ -196,9 +202,7 @@
         .with("members", snapshot.members_size())
         .with("instances", snapshot.instances_size())
         .with("terms", snapshot.terms_size());
-    if (m_changeListener) {
-        m_changeListener();
-    }
+    reportChange();
 }
 
 } // namespace rattanbeam::sessions::internal
