--- a/decisions/include/rattanbeam/decisions/rankqueue.h
+++ b/decisions/include/rattanbeam/decisions/rankqueue.h
@@ -28,8 +28,8 @@
     std::size_t connectionLimit = 1;
     /// The statement's transaction already holds a connection.
     bool isPinned = false;
-    /// If the work ahead is not expected to let it start by this time, the queue counts as full for it.
-    TimePoint latestStart = TimePoint::max();
+    /// If the work ahead is not expected to let it end by this time, the queue counts as full for it.
+    TimePoint wantedBy = TimePoint::max();
 
     auto operator<=>(const QueuedWork &) const = default;
 };
@@ -82,8 +82,9 @@
 public:
     explicit RankQueue(const QueueLimits &limits);
 
-    /// Queues the work, or returns the refusal: QueueFull or DeadlineUnreachable. When the queue is full, the customer with
-    /// the most waiting work loses one statement to a customer with less; the next advance() returns its refusal.
+    /// Queues the work, or returns the refusal: QueueFull, with the time at which the same work would find room, or
+    /// DeadlineUnreachable. When the queue is full, the customer with the most waiting work loses one statement to a customer with
+    /// less; the next advance() returns its refusal.
     std::optional<Outcome> offer(const QueuedWork &work, TimePoint now);
 
     /// Starts work that may start and refuses work that can no longer meet its deadline. At most `freeConnections`
@@ -126,6 +127,9 @@
     double recentShare(Rank rank, TimePoint now) const;
     /// Time at which new work of `rank` can expect to start.
     TimePoint expectedStart(Rank rank, TimePoint now) const;
+    /// How long new work of `rank` can expect to wait. Counts the waiting work of this and all more urgent ranks, and that in lasting
+    /// overload more urgent work which has yet to arrive goes first too: it takes the share of the slots that it took recently.
+    Duration expectedWait(Rank rank, TimePoint now) const;
 
 private:
     /// Sum of slot time with exponential decay: past time counts half after each half-life.
@@ -180,9 +184,11 @@
     std::optional<CustomerKey> nextCustomer(Rank rank, std::size_t freeConnections) const;
     QueuedWork takeNext(Rank rank, const CustomerKey &customer);
     void remove(RankState &state, WorkId id);
-    bool isFull(Rank rank, TimePoint now, TimePoint latestStart) const;
+    double availableShare(Rank rank, TimePoint now) const;
+    std::optional<TimePoint> fullUntil(const QueuedWork &work, TimePoint now) const;
     bool makeRoom(const QueuedWork &work, TimePoint now);
     void refuseLate(TimePoint now, std::vector<QueueDecision> &decisions);
+    void refuseHopeless(Rank rank, TimePoint now, std::vector<QueueDecision> &decisions);
 
     QueueLimits m_limits;
     PerRank<RankState> m_ranks;
--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -231,6 +231,11 @@
         TimePoint leasesExpireAt = distantPast;
         /// Other homes that hold leases on the old primary and have not yielded them.
         std::set<std::string> leaseHolders;
+        /// The old record's witnesses, and since when each is known to be fenced or to lead.
+        std::vector<MemberId> witnesses;
+        std::map<MemberId, TimePoint> fencedSince;
+        /// When the leases were found to have ended; distantPast before that.
+        TimePoint leasesEndedAt = distantPast;
         /// Members that have not confirmed their fence or, in a planned change, have not received all up to `finalPosition`.
         std::set<MemberId> pendingFences;
         /// Last position that each member has received, as reported while fencing; the highest of its term for a member that
@@ -257,7 +262,8 @@
     void startWork(Member &member, WorkNumber number, TimePoint now);
     void retry(WorkNumber number, StatementError error, const std::string &reason, TimePoint now);
     void finish(WorkNumber number, const HomeReply &reply, TimePoint now);
-    void refuse(WorkNumber number, StatementError error, const std::string &reason, TimePoint now);
+    /// `retryAt`: when the client may expect to be served; in the past if that is not known.
+    void refuse(WorkNumber number, StatementError error, const std::string &reason, TimePoint now, TimePoint retryAt = distantPast);
     void redirect(WorkNumber number, TimePoint now);
     std::string retryAfterText(TimePoint at, TimePoint now) const;
 
@@ -276,7 +282,10 @@
     void statementAnswered(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now);
     void statementFailed(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now);
     void pinOrReleaseConnection(Member &member, MemberConnection &connection, const Work &work, const Answer &answer, TimePoint now);
-    void statusAnswered(Member &member, const ReplicationStatus &status, TimePoint sentAt, TimePoint now);
+    void statusAnswered(Member &member, const ReplicationStatus &status, const PrimaryLease::Confirmation &confirmation, TimePoint now);
+    void memberReached(Member &member);
+    void setMemberSilent(Member &member, TimePoint now);
+    void dispatchQueuedWorkAgain(Member &member, TimePoint now);
     void dropConnection(Member &member, ConnectionNumber number, bool isClosed, StatementError reason, TimePoint now);
     void workConnectionLost(WorkNumber number, StatementError reason, TimePoint now);
     void disconnectMember(Member &member, TimePoint now);
@@ -305,6 +314,11 @@
     bool isEvidenceMissing(TimePoint now) const;
     void superviseGroup(TimePoint now);
     void advanceFencing(TimePoint now);
+    void advanceLeaseWait(TimePoint now);
+    void updateFencedWitnesses(const MemberId &id, const ReplicationStatus &status, TimePoint now);
+    void fenceWitnesses(TimePoint now);
+    bool haveLeasesEnded(TimePoint now) const;
+    bool isWitnessMissing() const;
     void sampleWatermark(const LogPosition &position, TimePoint sentAt, TimePoint now);
     std::set<MemberId> replicaIds() const;
     void suspectPrimary(std::string_view cause, TimePoint now);
@@ -369,6 +383,8 @@
     TimePoint m_redirectUntil = distantPast;
     /// Consecutive changes that ended because the store did not accept the term record.
     std::uint32_t m_failedTermWrites = 0;
+    /// Since when the term record has named no primary; distantPast if it names one.
+    TimePoint m_leaderlessSince = distantPast;
     /// Last time that no reachable replica was fenced.
     TimePoint m_fencedSince = distantPast;
     /// Time since which changes have found no candidate among the members of the latest term; distantPast after a completed change.
--- a/decisions/include/rattanbeam/decisions/session/homeplan.h
+++ b/decisions/include/rattanbeam/decisions/session/homeplan.h
@@ -8,7 +8,7 @@
 namespace rattanbeam::decisions::session
 {
 
-/// The instances that may be a service's home, most preferred first.
+/// The instances that may be a service's home, most preferred first; at most 16, so that a plan's size does not grow with the fleet.
 using HomeRanking = std::vector<InstanceRecord>;
 
 /// Ranks the instances for each service by weighted rendezvous hashing. An instance's weight is the cube of its processor share, so
--- a/decisions/include/rattanbeam/decisions/session/memberconnections.h
+++ b/decisions/include/rattanbeam/decisions/session/memberconnections.h
@@ -32,7 +32,15 @@
     TimePoint sentAt = distantPast;
     TimePoint idleSince = distantPast;
     TimePoint connectStartedAt = distantPast;
+    TimePoint openedAt = distantPast;
+    /// Whether the member went silent while it owed an answer on this connection; the answer may still come.
+    bool isSilent = false;
 
+    /// Whether the member owes an answer and has not gone silent yet.
+    bool isAnswerOwed() const
+    {
+        return !commands.empty() && !isSilent;
+    }
     bool isIdle() const
     {
         return isOpen && !pinnedBy && commands.empty();
--- a/decisions/include/rattanbeam/decisions/session/primarylease.h
+++ b/decisions/include/rattanbeam/decisions/session/primarylease.h
@@ -3,9 +3,11 @@
 #include "rattanbeam/decisions/identifiers.h"
 #include "rattanbeam/decisions/timepoint.h"
 
+#include <chrono>
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace rattanbeam::decisions::session
 {
@@ -17,7 +19,13 @@
 /// listed home, evidence is therefore valid for the lease's duration. An unlisted home needs evidence from after the answer
 /// itself.
 ///
-///     lease.replicaConfirmed(replica, sentAt);
+/// Evidence is a read of the term record, or the word of every replica, since a change of primary fences its candidate. For a listed
+/// home and for `witnessTerm` after a read, the word of one witness suffices, so that the loss of a replica does not stop the group while
+/// the store is away: a change of primary keeps every witness fenced for longer than the lease, or waits for the end of that term. A
+/// witness counts while its answers show without a gap of the lease's duration that it is not fenced, and come from the process that was
+/// running at the time of the read, since a fence does not survive a restart.
+///
+///     lease.replicaConfirmed(replica, {sentAt, connectionOpenedAt, now});
 ///     if (lease.covers(answeredAt, now)) { passOn(answer); }
 class PrimaryLease
 {
@@ -28,20 +36,28 @@
     void restart(std::uint64_t generation, bool isListed, const std::set<MemberId> &replicas);
     /// Replaces the set of replicas within a generation; those that stay keep their evidence.
     void setReplicas(const std::set<MemberId> &replicas);
+    /// Sets the witnesses that the term record names. One that is new counts from the next read of the record.
+    void setWitnesses(const std::vector<MemberId> &witnesses);
 
     /// A linearizable read of the term record that began at `startedAt` showed `generation`. Ignored unless that is the
     /// lease's generation.
     void termRecordRead(std::uint64_t generation, bool isListed, TimePoint startedAt);
-    /// A replica that is not fenced has answered a request sent at `sentAt`.
-    void replicaConfirmed(const MemberId &replica, TimePoint sentAt);
+    /// When a status request was sent and answered, and since when its connection was open.
+    struct Confirmation {
+        TimePoint sentAt;
+        TimePoint connectionOpenedAt;
+        TimePoint answeredAt;
+    };
+    /// A replica that is not fenced has answered.
+    void replicaConfirmed(const MemberId &replica, const Confirmation &confirmation);
     /// A replica is fenced or leads: discards its evidence and that of the term record, so that only another read of the
     /// record, or new answers of all replicas, count.
     void replicaRevoked(const MemberId &replica);
 
     /// Whether an answer received at `answeredAt` may be passed on at `now`.
     bool covers(TimePoint answeredAt, TimePoint now) const;
-    /// Latest time at which it is known that no later promotion had begun: when every replica was last known unfenced, or when the
-    /// term record was last read. distantPast without evidence.
+    /// Latest time at which it is known that no later promotion had begun: when every replica or, for a listed home, a witness was last
+    /// known unfenced, or when the term record was last read. distantPast without evidence.
     TimePoint evidenceTime() const;
     /// Start of the last read of the term record that showed the lease's generation.
     TimePoint lastTermRecordReadAt() const
@@ -58,12 +74,19 @@
         return m_generation;
     }
 
+    /// How long after a read of the term record the word of one witness counts.
+    static constexpr Duration witnessTerm = std::chrono::seconds(12);
+
 private:
+    TimePoint witnessEvidenceTime() const;
+
     Duration m_duration;
     std::uint64_t m_generation = 0;
     bool m_isListed = false;
     TimePoint m_termRecordReadAt = distantPast;
     std::map<MemberId, TimePoint> m_replicaConfirmedAt;
+    /// When each witness was last known unfenced; distantPast until a read of the record, and after a gap.
+    std::map<MemberId, TimePoint> m_witnessConfirmedAt;
 };
 
 } // namespace rattanbeam::decisions::session
--- a/decisions/src/rankqueue.cpp
+++ b/decisions/src/rankqueue.cpp
@@ -12,6 +12,7 @@
 
 constexpr double shareHalfLifeSeconds = 0.5;
 constexpr double serviceSmoothing = 0.1; // weight of the newest sample in the moving average
+constexpr int plannedPercent = 75; // of the time until an objective that expected waits may use; the rest is for their spread
 // Of one rank; beyond it, the fair-queueing state of a customer is dropped as soon as no work of it waits.
 constexpr std::size_t maxKeptCustomers = 1024;
 
@@ -45,8 +46,9 @@
 {
     RankState &state = m_ranks[work.rank];
     state.lastOffered = now;
-    if (isFull(work.rank, now, work.latestStart) && !makeRoom(work, now)) {
-        return Outcome::refusal(ErrorCode::QueueFull, expectedStart(work.rank, now));
+    const auto roomAt = fullUntil(work, now);
+    if (roomAt && !makeRoom(work, now)) {
+        return Outcome::refusal(ErrorCode::QueueFull, *roomAt);
     }
     if (work.deadline < now + minServiceTime(work.rank)) {
         return Outcome::refusal(ErrorCode::DeadlineUnreachable);
@@ -59,13 +61,25 @@
     return std::nullopt;
 }
 
-bool RankQueue::isFull(Rank rank, TimePoint now, TimePoint latestStart) const
+/// If the queue is full for the work, when it would have room. Work that need not wait is never refused for its objective, and work that
+/// could not meet its objective even so may wait until its deadline.
+std::optional<TimePoint> RankQueue::fullUntil(const QueuedWork &work, TimePoint now) const
 {
-    const Duration maxWait = m_limits.maxExpectedWait[rank];
-    if (latestStart != TimePoint::max() && now + backlogAhead(rank) > latestStart) {
-        return true;
+    const Duration wait = expectedWait(work.rank, now);
+    if (work.wantedBy != TimePoint::max() && wait > Duration::zero()) {
+        const Duration serviceTime = meanServiceTime(work.rank);
+        const TimePoint wantedBy = now + serviceTime <= work.wantedBy ? work.wantedBy : work.deadline;
+        const Duration mostTime = (wantedBy - now) * plannedPercent / 100;
+        if (wait + serviceTime > mostTime) {
+            return now + (wait + serviceTime - mostTime);
+        }
+    }
+    const Duration maxWait = m_limits.maxExpectedWait[work.rank];
+    const TimePoint start = expectedStart(work.rank, now);
+    if (m_ranks[work.rank].waiting.size() >= m_limits.capacity || (maxWait > Duration::zero() && start > now + maxWait)) {
+        return start;
     }
-    return m_ranks[rank].waiting.size() >= m_limits.capacity || (maxWait > Duration::zero() && expectedStart(rank, now) > now + maxWait);
+    return std::nullopt;
 }
 
 bool RankQueue::makeRoom(const QueuedWork &work, TimePoint now)
@@ -191,6 +205,32 @@
     return now + fromSeconds(backlog / (slots * share));
 }
 
+Duration RankQueue::expectedWait(Rank rank, TimePoint now) const
+{
+    const double slots = static_cast<double>(std::max<std::size_t>(1, m_limits.slots));
+    const double ownBacklog
+        = std::chrono::duration<double>(meanServiceTime(rank)).count() * static_cast<double>(m_ranks[rank].waiting.size());
+    return std::max(backlogAhead(rank), fromSeconds(ownBacklog / (slots * availableShare(rank, now))));
+}
+
+/// Share of the slots' time that is left for the rank: what more urgent ranks have not used recently, and what is not guaranteed to
+/// waiting work of less urgent ranks; at least the rank's own guarantee.
+double RankQueue::availableShare(Rank rank, TimePoint now) const
+{
+    constexpr double minShare = 0.01; // keeps estimates finite
+    // Time that the slots offer, decayed in the same way as the time used of them.
+    const double offeredSeconds = static_cast<double>(std::max<std::size_t>(1, m_limits.slots)) * shareHalfLifeSeconds / std::log(2.0);
+    double share = 1;
+    for (const Rank other : allRanks) {
+        if (other < rank) {
+            share -= usedSeconds(other, now) / offeredSeconds;
+        } else if (other > rank && !m_ranks[other].waiting.empty()) {
+            share -= m_limits.weights[other] / 100.0;
+        }
+    }
+    return std::clamp(share, std::max(minShare, m_limits.weights[rank] / 100.0), 1.0);
+}
+
 /// Time that the slots need for the waiting work of this and all more urgent ranks.
 Duration RankQueue::backlogAhead(Rank rank) const
 {
@@ -319,6 +359,24 @@
             remove(state, id);
             decisions.push_back({id, Outcome::refusal(ErrorCode::DeadlineUnreachable)});
         }
+        refuseHopeless(rank, now, decisions);
+    }
+}
+
+/// Refuses the newest waiting work while the work ahead of it is expected to take until after its deadline, as when more urgent work has
+/// arrived since it was accepted. It would only wait in vain, and can be retried now.
+void RankQueue::refuseHopeless(Rank rank, TimePoint now, std::vector<QueueDecision> &decisions)
+{
+    RankState &state = m_ranks[rank];
+    while (!state.byDeadline.empty()) {
+        const WorkId id = state.byDeadline.rbegin()->id;
+        const QueuedWork &newest = state.waiting.at(id);
+        const TimePoint expectedEnd = now + expectedWait(rank, now);
+        if (newest.isPinned || newest.wantedBy == TimePoint::max() || expectedEnd <= newest.deadline) {
+            return;
+        }
+        remove(state, id);
+        decisions.push_back({id, Outcome::refusal(ErrorCode::QueueFull, expectedEnd)});
     }
 }
 
--- a/decisions/src/session/grouphome.cpp
+++ b/decisions/src/session/grouphome.cpp
@@ -206,11 +206,12 @@
     queued.rank = work.request.rank;
     queued.customer = CustomerId("sessions");
     queued.deadline = work.request.deadline;
-    queued.latestStart = isPinned ? TimePoint::max() : work.request.objectiveAt;
+    queued.wantedBy = isPinned ? TimePoint::max() : work.request.objectiveAt;
     queued.connectionLimit = m_limits.maxConnections;
     queued.isPinned = isPinned;
     if (const auto refusal = member.queue.offer(queued, now)) {
-        refuse(number, StatementError::Busy, refusal->code == ErrorCode::QueueFull ? "queue-full" : "deadline-unreachable", now);
+        const bool isFull = refusal->code == ErrorCode::QueueFull;
+        refuse(number, StatementError::Busy, isFull ? "queue-full" : "deadline-unreachable", now, refusal->retryAt);
         return;
     }
     startQueuedWork(member, now);
@@ -225,7 +226,8 @@
         } else if (decision.isStart()) {
             startWork(member, decision.id, now);
         } else {
-            refuse(decision.id, StatementError::Busy, "deadline-unreachable", now);
+            const bool isFull = decision.outcome.code == ErrorCode::QueueFull;
+            refuse(decision.id, StatementError::Busy, isFull ? "queue-full" : "deadline-unreachable", now, decision.outcome.retryAt);
         }
     }
     std::size_t waiting = 0;
@@ -294,14 +296,15 @@
     return "retry-after-ms=" + std::to_string(std::max<std::uint32_t>(1, millisecondsUntil(at, now)));
 }
 
-void GroupHome::refuse(WorkNumber number, StatementError error, const std::string &reason, TimePoint now)
+void GroupHome::refuse(WorkNumber number, StatementError error, const std::string &reason, TimePoint now, TimePoint retryAt)
 {
     const Work &work = m_work.at(number);
     const bool isChanging = m_change.stage != ChangeStage::None;
-    const TimePoint retryAt = isChanging ? std::max(now + minRetryDelay, m_change.startedAt + 1s) : now + minRetryDelay;
+    const TimePoint earliestRetryAt = std::max({now + minRetryDelay, retryAt, isChanging ? m_change.startedAt + 1s : now});
     HomeReply reply;
-    reply.answer = Answer::failure(
-        error, reason + ' ' + retryAfterText(retryAt, now), work.request.transaction.isNone() ? SessionPhase::Idle : SessionPhase::Failed);
+    reply.answer = Answer::failure(error,
+                                   reason + ' ' + retryAfterText(earliestRetryAt, now),
+                                   work.request.transaction.isNone() ? SessionPhase::Idle : SessionPhase::Failed);
     m_effects.report({"request-refused",
                       false,
                       {{"request", work.request.forwarded.statement.id},
--- a/decisions/src/session/grouphomeanswers.cpp
+++ b/decisions/src/session/grouphomeanswers.cpp
@@ -32,6 +32,8 @@
     const TimePoint sentAt = connection->sentAt;
     connection->commands.pop_front();
     connection->isAwaitingAnswer = false;
+    connection->isSilent = false;
+    memberReached(*member);
     if (answer.position) {
         member->applied = std::max(member->applied, *answer.position);
         if (member->record.id == m_primary) {
@@ -79,13 +81,13 @@
                                     TimePoint now)
 {
     const MemberId id = member.record.id;
-    const TimePoint sentAt = connection.sentAt;
+    const PrimaryLease::Confirmation confirmation{connection.sentAt, connection.openedAt, now};
     connection.idleSince = now;
     if (command.kind == CommandKind::Status) {
         member.isStatusPending = false;
     }
     if (status) {
-        statusAnswered(member, *status, sentAt, now);
+        statusAnswered(member, *status, confirmation, now);
     } else if (command.kind != CommandKind::Status) {
         askStatus(member, now);
     }
@@ -255,7 +257,10 @@
     member.statusAskedAt = now;
 }
 
-void GroupHome::statusAnswered(Member &member, const ReplicationStatus &status, TimePoint sentAt, TimePoint now)
+void GroupHome::statusAnswered(Member &member,
+                               const ReplicationStatus &status,
+                               const PrimaryLease::Confirmation &confirmation,
+                               TimePoint now)
 {
     const bool isChanged = !member.status || member.status->isPrimary != status.isPrimary || member.status->term != status.term
                            || member.status->fenceTerm != status.fenceTerm;
@@ -274,6 +279,7 @@
     m_highestLedTerm = std::max({m_highestLedTerm, status.term, status.received.term});
     m_highestTerm = std::max({m_highestTerm, status.term, status.received.term, status.fenceTerm});
     const MemberId id = member.record.id;
+    updateFencedWitnesses(id, status, now);
     if (m_change.stage == ChangeStage::Fencing) {
         statusAnsweredWhileFencing(member, status, now);
         return;
@@ -286,7 +292,7 @@
     }
     if (id != m_primary) {
         if (!status.isPrimary && status.fenceTerm == 0) {
-            m_lease.replicaConfirmed(id, sentAt);
+            m_lease.replicaConfirmed(id, confirmation);
             releaseConfirmedAnswers(now);
         } else if (m_change.stage == ChangeStage::None) {
             m_lease.replicaRevoked(id);
--- a/decisions/src/session/grouphomecandidates.cpp
+++ b/decisions/src/session/grouphomecandidates.cpp
@@ -13,6 +13,7 @@
 
 constexpr Duration fenceTimeout = 500ms; // for the answers of all replicas
 constexpr Duration statusPollInterval = 40ms; // between commands to a member whose status a change of primary awaits
+constexpr Duration fenceCheckInterval = 200ms; // between checks that a fenced witness still is
 constexpr Duration earlierOrderTime = 2000ms; // maximum time of a call to the platform and of the promotion that it may have begun
 constexpr Duration lastResortAfter = 5000ms; // without a candidate, one that lacks the latest term is accepted
 
@@ -150,6 +151,59 @@
     advanceChange(now);
 }
 
+/// Records whether a witness can still be evidence for a lease holder: one that is fenced or leads cannot.
+void GroupHome::updateFencedWitnesses(const MemberId &id, const ReplicationStatus &status, TimePoint now)
+{
+    if (status.fenceTerm != 0 || status.isPrimary) {
+        m_change.fencedSince.try_emplace(id, now);
+    } else {
+        m_change.fencedSince.erase(id);
+    }
+}
+
+/// Fences the witnesses that are not fenced yet, and checks again that the others still are.
+void GroupHome::fenceWitnesses(TimePoint now)
+{
+    for (const MemberId &id : m_change.witnesses) {
+        const auto found = m_members.find(id);
+        if (found == m_members.end() || id == m_change.oldPrimary) {
+            continue;
+        }
+        Member &member = found->second;
+        const Duration interval = m_change.fencedSince.contains(id) ? fenceCheckInterval : statusPollInterval;
+        if (now - member.statusAskedAt >= interval && sendMaintenance(member, CommandKind::Suspend, m_highestTerm + 1, now)) {
+            member.statusAskedAt = now;
+        }
+    }
+}
+
+/// Whether no other home can still pass on answers of the old primary.
+bool GroupHome::haveLeasesEnded(TimePoint now) const
+{
+    const Duration leaseTime = m_limits.leaseDuration + m_limits.leaseMargin;
+    if (m_change.leaseHolders.empty()) {
+        return true;
+    }
+    if (now < m_change.leasesExpireAt) {
+        return false;
+    }
+    const bool areWitnessesFenced = std::all_of(m_change.witnesses.begin(), m_change.witnesses.end(), [&](const MemberId &id) {
+        const auto fenced = m_change.fencedSince.find(id);
+        return id == m_change.oldPrimary || (fenced != m_change.fencedSince.end() && now - fenced->second >= leaseTime);
+    });
+    return areWitnessesFenced || now - m_leaderlessSince >= PrimaryLease::witnessTerm + leaseTime;
+}
+
+void GroupHome::advanceLeaseWait(TimePoint now)
+{
+    if (!haveLeasesEnded(now)) {
+        fenceWitnesses(now);
+        return;
+    }
+    m_change.leasesEndedAt = m_change.leasesEndedAt == distantPast ? now : m_change.leasesEndedAt;
+    orderPromotionIfNewest(now);
+}
+
 void GroupHome::resumeFencedMembers(TimePoint now)
 {
     for (auto &[id, member] : m_members) {
--- a/decisions/src/session/grouphomeconnections.cpp
+++ b/decisions/src/session/grouphomeconnections.cpp
@@ -63,14 +63,11 @@
         return;
     }
     connection->isOpen = true;
+    connection->openedAt = now;
     connection->idleSince = now;
     member->lastHeardAt = now;
     member->backoff = {};
-    if (member->health != Health::Up) {
-        member->health = Health::Up;
-        m_effects.report({"member-reached", false, {{"service", m_service.text()}, {"member", member->record.id.text()}}});
-        member->statusAskedAt = distantPast;
-    }
+    memberReached(*member);
     member->peerAnswers.reset();
     startQueuedWork(*member, now);
     if (member->health == Health::Up && now - member->statusAskedAt >= m_limits.statusInterval) {
@@ -79,6 +76,15 @@
     releaseHeld(now);
 }
 
+void GroupHome::memberReached(Member &member)
+{
+    if (member.health != Health::Up) {
+        member.health = Health::Up;
+        member.statusAskedAt = distantPast;
+        m_effects.report({"member-reached", false, {{"service", m_service.text()}, {"member", member.record.id.text()}}});
+    }
+}
+
 void GroupHome::connectionFailed(ConnectionNumber number, ConnectFailure failure, TimePoint now)
 {
     Member *member = nullptr;
@@ -130,8 +136,36 @@
     for (const ConnectionNumber number : connectionNumbers) {
         dropConnection(member, number, false, StatementError::InDoubt, now);
     }
+    dispatchQueuedWorkAgain(member, now);
+}
+
+/// The member owes answers and sends nothing. It may only be slow, and what runs there must neither run twice nor be given up: closes
+/// only the connections that the primary's own work does not use.
+void GroupHome::setMemberSilent(Member &member, TimePoint now)
+{
+    std::vector<ConnectionNumber> replaceable;
+    for (auto &[number, connection] : member.connections.all()) {
+        const auto work = connection.work ? m_work.find(*connection.work) : m_work.end();
+        const auto transaction = connection.pinnedBy ? m_transactions.find(*connection.pinnedBy) : m_transactions.end();
+        const bool isPrimaryWork = work != m_work.end() && work->second.isSent && work->second.generation != 0
+                                   && (needsPrimary(work->second.request) || !work->second.request.transaction.isNone());
+        const bool isPrimaryTransaction = transaction != m_transactions.end() && transaction->second.generation != 0;
+        if (isPrimaryWork || isPrimaryTransaction) {
+            connection.isSilent = true;
+        } else {
+            replaceable.push_back(number);
+        }
+    }
+    for (const ConnectionNumber number : replaceable) {
+        dropConnection(member, number, false, StatementError::InDoubt, now);
+    }
+    dispatchQueuedWorkAgain(member, now);
+}
+
+/// Dispatches the work that is still in the member's queue again, since the member cannot be reached now.
+void GroupHome::dispatchQueuedWorkAgain(Member &member, TimePoint now)
+{
     member.isStatusPending = false;
-    // Work still in the member's queue is dispatched again.
     std::vector<WorkNumber> waiting;
     for (const auto &[number, work] : m_work) {
         if (work.member == member.record.id && !work.isSent && member.queue.cancel(number)) {
@@ -220,7 +254,7 @@
         // Silence is measured from the first command that awaits an answer.
         const bool isAnswerOwedElsewhere
             = std::any_of(member.connections.all().begin(), member.connections.all().end(), [&](const auto &entry) {
-                  return entry.first != connection.number && !entry.second.commands.empty();
+                  return entry.first != connection.number && entry.second.isAnswerOwed();
               });
         member.lastHeardAt = isAnswerOwedElsewhere ? member.lastHeardAt : now;
     }
--- a/decisions/src/session/grouphomefailover.cpp
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -149,12 +149,16 @@
     record.term = std::max<Term>(m_change.oldPrimaryTerm, m_term ? m_term->term : 0);
     m_change.leaseHolders.clear();
     if (m_term) {
+        // The record keeps holders and witnesses for a home that may have to take this change over.
+        record.witnesses = m_term->witnesses;
         for (const std::string &home : m_term->homes) {
             if (instanceNameOf(home) != instanceNameOf(m_self)) {
                 m_change.leaseHolders.insert(home);
+                record.homes.push_back(home);
             }
         }
     }
+    m_change.witnesses = record.witnesses;
     setStage(ChangeStage::WritingTerm, now + termWriteTimeout);
     m_lastTermWriteAt = now;
     m_effects.writeTerm(record, m_termRevision);
@@ -177,7 +181,7 @@
             m_lastTermReadAt = now;
             m_effects.readTerm();
         }
-        if (now >= m_change.leasesExpireAt + m_limits.promotionTimeout) {
+        if (now >= m_change.leasesEndedAt + m_limits.promotionTimeout) {
             abandonChange("store-silent", now);
         }
         return;
@@ -212,8 +216,12 @@
 {
     m_primary = m_change.candidate;
     m_noCandidateSince = distantPast;
+    m_leaderlessSince = distantPast;
     m_term->primary = m_primary;
     m_term->term = m_members.at(m_primary).status->term;
+    m_term->homes = {m_self};
+    const std::set<MemberId> replicas = replicaIds();
+    m_term->witnesses.assign(replicas.begin(), replicas.end());
     m_effects.report({"primary-changed",
                       false,
                       {{"service", m_service.text()},
@@ -357,9 +365,7 @@
         advanceFencing(now);
         break;
     case ChangeStage::AwaitingLeases:
-        if (m_change.leaseHolders.empty() || now >= m_change.leasesExpireAt) {
-            orderPromotionIfNewest(now);
-        }
+        advanceLeaseWait(now);
         break;
     case ChangeStage::Ordering:
         if (now >= m_change.stageDeadline) {
--- a/decisions/src/session/grouphomemembers.cpp
+++ b/decisions/src/session/grouphomemembers.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t pipelinedStatements = 1; // beyond the slots, so that no slot idles for the time of a round trip
 constexpr int heldObjectiveDivisor = 5; // work is held for at most its latency objective divided by this
 constexpr int stallPercent = 60; // of its latency objective, after which an unanswered read counts as stalled
+constexpr int primaryStallPercent = 120; // the same for a read that only the primary can serve
 
 QueueLimits queueLimits(const MemberRecord &record)
 {
@@ -107,7 +108,7 @@
         }
         const bool hasUnansweredCommand
             = std::any_of(member.connections.all().begin(), member.connections.all().end(), [](const auto &entry) {
-                  return !entry.second.commands.empty();
+                  return entry.second.isAnswerOwed();
               });
         if (hasUnansweredCommand && now - member.lastHeardAt > m_limits.silenceTimeout) {
             m_effects.report({"member-silent",
@@ -116,7 +117,7 @@
                                {"member", id.text()},
                                {"silent_ms", std::to_string(millisecondsUntil(now, member.lastHeardAt))}}});
             member.health = Health::Unknown;
-            disconnectMember(member, now);
+            setMemberSilent(member, now);
             member.nextConnectAt = now;
             openConnection(member, now);
             if (id == m_primary && m_change.stage == ChangeStage::None) {
@@ -176,8 +177,8 @@
     }
 }
 
-/// Retries reads whose answers take too long, at other members and before their deadlines. This is safe, since a read has no
-/// effect.
+/// Retries reads whose answers take too long, before their deadlines, at other members if these may serve them. This is safe, since a
+/// read has no effect.
 void GroupHome::retryStalledReads(TimePoint now)
 {
     std::vector<WorkNumber> stalled;
@@ -190,7 +191,9 @@
             continue;
         }
         const MemberConnection *connection = member->second.connections.find(*work.connection);
-        const Duration maxWait = (request.objectiveAt - request.arrivedAt) * stallPercent / 100;
+        // A read that only the primary can serve gains from a retry only if its connection is lost.
+        const int percent = needsPrimary(request) ? primaryStallPercent : stallPercent;
+        const Duration maxWait = (request.objectiveAt - request.arrivedAt) * percent / 100;
         if (connection != nullptr && connection->work == number && now - connection->sentAt > maxWait) {
             stalled.push_back(number);
         }
--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -13,6 +13,8 @@
 
 constexpr Duration minTermReadInterval = 150ms; // between reads of the term record
 constexpr Duration minTermWriteInterval = 300ms; // between attempts to list this home in the term record
+constexpr Duration witnessWriteInterval = 2000ms; // between writes of the term record that only add a witness
+constexpr Duration witnessReadInterval = 4000ms; // between reads of the term record that keep the witnesses' word valid
 constexpr Duration redirectTime = 1000ms; // after the first failed write of the term record; doubles with each further one
 constexpr Duration missingEvidenceGrace = 300ms; // added to the duration of the lease
 constexpr Duration evidenceRetryAfter = 5000ms; // without requests for this long, a home without evidence takes new ones
@@ -138,16 +140,15 @@
     }
     TermRecord record;
     if (m_term) {
-        if (m_lease.isListed() || m_term->primary.isEmpty()) {
+        const bool isComplete = m_lease.isListed() && (!isWitnessMissing() || now - m_lastTermWriteAt < witnessWriteInterval);
+        if (isComplete || m_term->primary.isEmpty()) {
             return;
         }
         record = *m_term;
-        record.homes.erase(std::remove_if(record.homes.begin(),
-                                          record.homes.end(),
-                                          [&](const std::string &home) {
-                                              return instanceNameOf(home) == instanceNameOf(m_self);
-                                          }),
-                           record.homes.end());
+        // Earlier processes of this instance have ended. The first home keeps its place, which marks the creator of the generation.
+        std::erase_if(record.homes, [&](const std::string &home) {
+            return instanceNameOf(home) == instanceNameOf(m_self) && home != m_self;
+        });
     } else {
         const auto first = std::find_if(m_members.begin(), m_members.end(), [](const auto &entry) {
             return entry.second.isRegistered && entry.second.record.isRegisteredAsPrimary;
@@ -160,12 +161,28 @@
         record.primary = first->first;
     }
     record.term = std::max(record.term, latestKnownTerm(record.primary));
-    record.homes.push_back(m_self);
+    if (std::find(record.homes.begin(), record.homes.end(), m_self) == record.homes.end()) {
+        record.homes.push_back(m_self);
+    }
+    for (const MemberId &replica : replicaIds()) {
+        if (std::find(record.witnesses.begin(), record.witnesses.end(), replica) == record.witnesses.end() && replica != record.primary) {
+            record.witnesses.push_back(replica);
+        }
+    }
     m_isWritingTerm = true;
     m_lastTermWriteAt = now;
     m_effects.writeTerm(record, m_termRevision);
 }
 
+/// Whether a replica is registered that the term record does not name as a witness.
+bool GroupHome::isWitnessMissing() const
+{
+    const std::set<MemberId> replicas = replicaIds();
+    return std::any_of(replicas.begin(), replicas.end(), [&](const MemberId &replica) {
+        return std::find(m_term->witnesses.begin(), m_term->witnesses.end(), replica) == m_term->witnesses.end();
+    });
+}
+
 void GroupHome::termSeen(const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt, TimePoint now)
 {
     m_isTermKnown = true;
@@ -194,6 +211,7 @@
     } else {
         m_term = record;
     }
+    m_lease.setWitnesses(m_term->witnesses);
     m_lease.termRecordRead(record->generation, isListed, startedAt);
     // A write of this home that was given up on took effect after all: continues its change of primary.
     const bool isOwnLateWrite = m_change.stage == ChangeStage::None && isNewer && record->primary.isEmpty() && !record->homes.empty()
@@ -201,6 +219,8 @@
     if (isOwnLateWrite) {
         m_change = {};
         m_change.startedAt = now;
+        m_change.witnesses = record->witnesses;
+        m_change.leaseHolders.insert(std::next(record->homes.begin()), record->homes.end());
     }
     if (isOwnChange || isOwnLateWrite) {
         m_change.oldPrimaryTerm = std::max<Term>(m_change.oldPrimaryTerm, record->term);
@@ -227,6 +247,11 @@
                        {"homes", std::to_string(record.homes.size())}}});
     m_term = record;
     m_primary = record.primary;
+    if (!m_primary.isEmpty()) {
+        m_leaderlessSince = distantPast;
+    } else if (m_leaderlessSince == distantPast) {
+        m_leaderlessSince = now;
+    }
     if (m_change.stage == ChangeStage::None) {
         m_change.startedAt = now;
     }
@@ -321,8 +346,10 @@
 void GroupHome::renewEvidence(TimePoint now)
 {
     const bool isNeeded = m_isFirstHome || !isQuiet() || isEvidenceMissing(now);
-    if (isNeeded && isPrimaryUsable() && now - m_lease.evidenceTime() > m_limits.leaseDuration / 2
-        && now - m_lastTermReadAt > m_limits.statusInterval) {
+    const bool isEvidenceOld = now - m_lease.evidenceTime() > m_limits.leaseDuration / 2;
+    const bool isReadOld = m_lease.isListed() && now - m_lease.lastTermRecordReadAt() > witnessReadInterval;
+    const Duration readInterval = isEvidenceOld ? m_limits.statusInterval : witnessReadInterval;
+    if (isNeeded && isPrimaryUsable() && (isEvidenceOld || isReadOld) && now - m_lastTermReadAt > readInterval) {
         m_lastTermReadAt = now;
         m_effects.readTerm();
     }
--- a/decisions/src/session/homeplan.cpp
+++ b/decisions/src/session/homeplan.cpp
@@ -15,6 +15,7 @@
 namespace
 {
 
+constexpr std::size_t maxRankedHomes = 16;
 constexpr std::size_t minRelays = 3;
 constexpr std::size_t maxRelaysPerInstance = 4;
 constexpr std::ptrdiff_t preferredSameDomainRelays = 2; // relays of other domains come next
@@ -37,24 +38,46 @@
     return -std::log(uniform) / (processorShare * processorShare * processorShare);
 }
 
-HomeRanking rankInstances(const std::string &key, const std::vector<InstanceRecord> &instances)
+struct ScoredInstance {
+    double score = 0;
+    const InstanceRecord *instance = nullptr;
+
+    bool operator<(const ScoredInstance &other) const
+    {
+        return std::tie(score, instance->id) < std::tie(other.score, other.instance->id);
+    }
+};
+
+std::vector<ScoredInstance> scoreInstances(const std::string &key, const std::vector<InstanceRecord> &instances)
 {
-    std::vector<std::pair<double, const InstanceRecord *>> scored;
+    std::vector<ScoredInstance> scored;
+    scored.reserve(instances.size());
     for (const InstanceRecord &instance : instances) {
         if (!instance.isLeaving) {
-            scored.emplace_back(rendezvousScore(key, instance), &instance);
+            scored.push_back({rendezvousScore(key, instance), &instance});
         }
     }
-    std::sort(scored.begin(), scored.end(), [](const auto &left, const auto &right) {
-        return std::tie(left.first, left.second->id) < std::tie(right.first, right.second->id);
-    });
+    return scored;
+}
+
+/// Copies the `count` best instances in order; those of a large fleet that come later are never asked.
+HomeRanking bestInstances(std::vector<ScoredInstance> scored, std::size_t count)
+{
+    const auto end = scored.begin() + static_cast<std::ptrdiff_t>(std::min(count, scored.size()));
+    std::partial_sort(scored.begin(), end, scored.end());
     HomeRanking ranking;
-    for (const auto &[score, instance] : scored) {
-        ranking.push_back(*instance);
+    ranking.reserve(std::min(count, scored.size()));
+    for (auto each = scored.begin(); each != end; ++each) {
+        ranking.push_back(*each->instance);
     }
     return ranking;
 }
 
+HomeRanking rankInstances(const std::string &key, const std::vector<InstanceRecord> &instances)
+{
+    return bestInstances(scoreInstances(key, instances), instances.size());
+}
+
 } // namespace
 
 std::map<ServiceName, HomeRanking> planHomes(const std::vector<ServiceName> &services, const std::vector<InstanceRecord> &instances)
@@ -62,17 +85,20 @@
     std::map<ServiceName, HomeRanking> plan;
     std::set<InstanceId> firstHomes;
     for (const ServiceName &service : std::set<ServiceName>(services.begin(), services.end())) {
-        HomeRanking ranking = rankInstances(service.text(), instances);
-        const auto unused = std::find_if(ranking.begin(), ranking.end(), [&](const InstanceRecord &instance) {
-            return !firstHomes.contains(instance.id);
-        });
-        if (unused != ranking.end()) {
-            std::rotate(ranking.begin(), unused, unused + 1);
+        std::vector<ScoredInstance> scored = scoreInstances(service.text(), instances);
+        auto first = scored.end();
+        for (auto each = scored.begin(); each != scored.end(); ++each) {
+            if (!firstHomes.contains(each->instance->id) && (first == scored.end() || *each < *first)) {
+                first = each;
+            }
         }
-        if (!ranking.empty()) {
-            firstHomes.insert(ranking.front().id);
+        if (first != scored.end()) {
+            first->score = -1; // goes before all others
+        }
+        plan[service] = bestInstances(std::move(scored), maxRankedHomes);
+        if (!plan[service].empty()) {
+            firstHomes.insert(plan[service].front().id);
         }
-        plan[service] = std::move(ranking);
     }
     return plan;
 }
--- a/decisions/src/session/primarylease.cpp
+++ b/decisions/src/session/primarylease.cpp
@@ -14,9 +14,20 @@
     m_isListed = isListed;
     m_termRecordReadAt = distantPast;
     m_replicaConfirmedAt.clear();
+    m_witnessConfirmedAt.clear();
     setReplicas(replicas);
 }
 
+void PrimaryLease::setWitnesses(const std::vector<MemberId> &witnesses)
+{
+    std::map<MemberId, TimePoint> kept;
+    for (const MemberId &witness : witnesses) {
+        const auto found = m_witnessConfirmedAt.find(witness);
+        kept[witness] = found == m_witnessConfirmedAt.end() ? distantPast : found->second;
+    }
+    m_witnessConfirmedAt = std::move(kept);
+}
+
 void PrimaryLease::setReplicas(const std::set<MemberId> &replicas)
 {
     std::map<MemberId, TimePoint> kept;
@@ -34,13 +45,26 @@
     }
     m_isListed = isListed;
     m_termRecordReadAt = std::max(m_termRecordReadAt, startedAt);
+    for (auto &[witness, confirmedAt] : m_witnessConfirmedAt) {
+        confirmedAt = std::max(confirmedAt, startedAt);
+    }
 }
 
-void PrimaryLease::replicaConfirmed(const MemberId &replica, TimePoint sentAt)
+void PrimaryLease::replicaConfirmed(const MemberId &replica, const Confirmation &confirmation)
 {
     const auto found = m_replicaConfirmedAt.find(replica);
     if (found != m_replicaConfirmedAt.end()) {
-        found->second = std::max(found->second, sentAt);
+        found->second = std::max(found->second, confirmation.sentAt);
+    }
+    const auto witness = m_witnessConfirmedAt.find(replica);
+    if (witness == m_witnessConfirmedAt.end()) {
+        return;
+    }
+    // A fence lasts longer than the lease. If less time has passed from the last request to this answer, there was none in between.
+    if (confirmation.answeredAt - witness->second >= m_duration) {
+        witness->second = distantPast;
+    } else if (confirmation.connectionOpenedAt <= m_termRecordReadAt) {
+        witness->second = std::max(witness->second, confirmation.sentAt);
     }
 }
 
@@ -51,6 +75,20 @@
         found->second = distantPast;
     }
     m_termRecordReadAt = distantPast;
+    for (auto &[witness, confirmedAt] : m_witnessConfirmedAt) {
+        confirmedAt = distantPast;
+    }
+}
+
+TimePoint PrimaryLease::witnessEvidenceTime() const
+{
+    TimePoint latest = distantPast;
+    if (m_isListed && m_termRecordReadAt != distantPast) {
+        for (const auto &[witness, confirmedAt] : m_witnessConfirmedAt) {
+            latest = std::max(latest, std::min(confirmedAt, m_termRecordReadAt + witnessTerm));
+        }
+    }
+    return latest;
 }
 
 TimePoint PrimaryLease::evidenceTime() const
@@ -59,7 +97,7 @@
     for (const auto &[replica, confirmedAt] : m_replicaConfirmedAt) {
         allReplicas = std::min(allReplicas, confirmedAt);
     }
-    return std::max(allReplicas, m_termRecordReadAt);
+    return std::max({allReplicas, m_termRecordReadAt, witnessEvidenceTime()});
 }
 
 bool PrimaryLease::covers(TimePoint answeredAt, TimePoint now) const
--- a/decisions/test/rankqueue_test.cpp
+++ b/decisions/test/rankqueue_test.cpp
@@ -130,8 +130,143 @@
     std::multimap<TimePoint, WorkId> m_completions;
 };
 
+/// One rank's part of a load: statements that arrive at regular intervals.
+struct LoadPart {
+    Duration interval{};
+    Duration serviceTime{};
+    Duration objective{};
+    Duration timeout{};
+};
+
+struct LoadResult {
+    std::size_t refusedAtOnce = 0;
+    std::size_t refusedAfterWaiting = 0;
+    std::size_t endedInTime = 0;
+    std::size_t endedLate = 0;
+    Duration servedTime{};
+    /// The longest time that a retry was asked to wait.
+    Duration maxRetryDelay{};
+};
+
+/// Plays `load` for `time` against a queue whose callers do not retry. Counts the work that arrives after `settlingTime`, in which the
+/// queue learns of the load.
+PerRank<LoadResult> playLoad(const QueueLimits &limits, const PerRank<LoadPart> &load, Duration time, Duration settlingTime = {})
+{
+    struct Statement {
+        Rank rank = Rank::Batch;
+        TimePoint arrivedAt;
+    };
+    const TimePoint start{std::chrono::hours(1)};
+    RankQueue queue(limits);
+    PerRank<LoadResult> results;
+    PerRank<TimePoint> nextArrivals;
+    std::map<WorkId, Statement> statements;
+    std::multimap<TimePoint, WorkId> completions;
+    WorkId lastId = 0;
+    const auto isCounted = [&](const Statement &statement) {
+        return statement.arrivedAt >= start + settlingTime;
+    };
+    for (const Rank rank : allRanks) {
+        nextArrivals[rank] = start;
+    }
+    for (TimePoint now = start; now < start + time; now += 1ms) {
+        while (!completions.empty() && completions.begin()->first <= now) {
+            const WorkId id = completions.begin()->second;
+            const Statement statement = statements.at(id);
+            const LoadPart &part = load[statement.rank];
+            LoadResult &result = results[statement.rank];
+            if (isCounted(statement)) {
+                ++(now - statement.arrivedAt <= part.objective ? result.endedInTime : result.endedLate);
+            }
+            result.servedTime += part.serviceTime;
+            queue.finished(id, now);
+            statements.erase(id);
+            completions.erase(completions.begin());
+        }
+        for (const Rank rank : allRanks) {
+            const LoadPart &part = load[rank];
+            for (; part.interval > Duration::zero() && nextArrivals[rank] <= now; nextArrivals[rank] += part.interval) {
+                QueuedWork work{++lastId, rank, CustomerId("tiza"), now + part.timeout, ampleConnections, false, now + part.objective};
+                if (const auto refusal = queue.offer(work, now)) {
+                    ++results[rank].refusedAtOnce;
+                    results[rank].maxRetryDelay = std::max(results[rank].maxRetryDelay, refusal->retryAt - now);
+                } else {
+                    statements[work.id] = {rank, now};
+                }
+            }
+        }
+        for (const QueueDecision &decision : queue.advance(now, ampleConnections)) {
+            const Statement statement = statements.at(decision.id);
+            if (decision.isStart()) {
+                completions.emplace(now + load[statement.rank].serviceTime, decision.id);
+            } else {
+                results[statement.rank].refusedAfterWaiting += isCounted(statement) ? 1 : 0;
+                statements.erase(decision.id);
+            }
+        }
+    }
+    return results;
+}
+
 } // namespace
 
+// A database whose replicas have fallen far behind: all reads come to the primary, which has six slots for the work of fifteen. Before,
+// batch work was accepted, waited for its whole timeout and was then refused.
+TEST_CASE("Work that lasting overload would keep waiting beyond its objective is refused at once, not after waiting", "[rankqueue]")
+{
+    QueueLimits limits = makeLimits(6);
+    limits.capacity = 256;
+    limits.weights[Rank::Urgent] = 30;
+    limits.weights[Rank::Interactive] = 20;
+    limits.weights[Rank::Batch] = 5;
+    limits.longWorkThreshold = 60ms;
+    PerRank<LoadPart> load;
+    load[Rank::Urgent] = {14ms, 11ms, 200ms, 1200ms};
+    load[Rank::Interactive] = {3ms, 33ms, 400ms, 1200ms};
+    load[Rank::Batch] = {14ms, 55ms, 1500ms, 3000ms};
+    constexpr Duration time = 20s;
+    const PerRank<LoadResult> results = playLoad(limits, load, time, 2s);
+    Duration servedTime{};
+    for (const Rank rank : allRanks) {
+        INFO("rank " << rankName(rank) << " at once " << results[rank].refusedAtOnce << " after waiting "
+                     << results[rank].refusedAfterWaiting << " in time " << results[rank].endedInTime << " late "
+                     << results[rank].endedLate);
+        CHECK(results[rank].refusedAfterWaiting * 50 <= results[rank].endedInTime);
+        CHECK(results[rank].endedLate * 20 <= results[rank].endedInTime);
+        CHECK(results[rank].maxRetryDelay <= load[rank].timeout);
+        servedTime += results[rank].servedTime;
+    }
+    CHECK(results[Rank::Urgent].refusedAtOnce == 0);
+    CHECK(results[Rank::Interactive].refusedAtOnce > 0);
+    // What is refused leaves no slot idle, and each rank keeps its guarantee.
+    CHECK(servedTime >= time * 6 * 95 / 100);
+    CHECK(results[Rank::Interactive].servedTime * 100 >= servedTime * 20);
+    CHECK(results[Rank::Batch].servedTime * 100 >= servedTime * 5);
+}
+
+TEST_CASE("A burst of batch work waits for idle slots up to its objective", "[rankqueue]")
+{
+    QueueLimits limits = makeLimits(6);
+    limits.capacity = 256;
+    PerRank<LoadPart> load;
+    load[Rank::Urgent] = {100ms, 11ms, 200ms, 1200ms};
+    load[Rank::Batch] = {10ms, 55ms, 1500ms, 3000ms};
+    const PerRank<LoadResult> results = playLoad(limits, load, 5s);
+    CHECK(results[Rank::Batch].refusedAtOnce == 0);
+    CHECK(results[Rank::Batch].refusedAfterWaiting == 0);
+    CHECK(results[Rank::Batch].endedLate == 0);
+}
+
+TEST_CASE("Work at a member too slow for the objective may wait until its deadline", "[rankqueue]")
+{
+    QueueLimits limits = makeLimits(1);
+    PerRank<LoadPart> load;
+    load[Rank::Urgent] = {600ms, 500ms, 100ms, 2000ms};
+    const PerRank<LoadResult> results = playLoad(limits, load, 10s);
+    CHECK(results[Rank::Urgent].refusedAtOnce == 0);
+    CHECK(results[Rank::Urgent].endedLate >= 15);
+}
+
 TEST_CASE("Each rank gets its weight when all ranks overload the member", "[rankqueue]")
 {
     SlotModel model(makeLimits(2));
--- a/decisions/test/session/grouphome_test.cpp
+++ b/decisions/test/session/grouphome_test.cpp
@@ -78,6 +78,87 @@
     CHECK(group.replyTo(request.number)->answer.error == StatementError::InDoubt);
 }
 
+TEST_CASE("A write at a primary that is only silent for a while is neither given up nor sent again", "[grouphome]")
+{
+    FakeGroup group;
+    group.makeHealthy();
+    const HomeRequest request = group.writeRequest("w1");
+    group.home.request(request, group.now);
+    group.advanceTime(700ms);
+    CHECK(std::count(group.events.begin(), group.events.end(), "member-silent") == 1);
+    group.finishConnecting();
+    CHECK(group.replyTo(request.number) == nullptr);
+    group.answerAll();
+    REQUIRE(group.replyTo(request.number) != nullptr);
+    CHECK(group.replyTo(request.number)->answer.isSuccess());
+    CHECK(group.timesSent("w1") == 1);
+}
+
+TEST_CASE("A write at a primary that stays silent is in doubt at its deadline", "[grouphome]")
+{
+    FakeGroup group;
+    group.makeHealthy();
+    const HomeRequest request = group.writeRequest("w1");
+    group.home.request(request, group.now);
+    group.advanceTime(790ms);
+    CHECK(group.replyTo(request.number) == nullptr);
+    group.advanceTime(20ms);
+    REQUIRE(group.replyTo(request.number) != nullptr);
+    CHECK(group.replyTo(request.number)->answer.error == StatementError::InDoubt);
+    CHECK(group.timesSent("w1") == 1);
+}
+
+TEST_CASE("A read that only the primary can serve is not sent there again while it may still be answered in time", "[grouphome]")
+{
+    FakeGroup group;
+    group.makeHealthy();
+    const HomeRequest request = group.readRequest("r1", Consistency::Latest);
+    group.home.request(request, group.now);
+    REQUIRE(group.timesSent("r1") == 1);
+    group.advanceTime(100ms);
+    CHECK(group.timesSent("r1") == 1);
+    group.answerAll();
+    REQUIRE(group.replyTo(request.number) != nullptr);
+    CHECK(group.replyTo(request.number)->answer.isSuccess());
+}
+
+// A store outage beside a crashed replica: the primary and the other replica are well, and the group goes on.
+TEST_CASE("While the store is away, the word of one replica keeps the group serving", "[grouphome]")
+{
+    FakeGroup group;
+    group.makeHealthy();
+    group.home.termSeen(group.storedTerm, group.termRevision, group.now, group.now); // the last read before the outage
+    group.downMembers.insert(MemberId("m3"));
+    const auto runFor = [&](Duration time) {
+        for (Duration elapsed{}; elapsed < time; elapsed += 50ms) {
+            group.answerAll();
+            std::erase_if(group.pendingCommands, [&](const FakeGroup::SentCommand &each) {
+                return group.connectionMembers.at(each.connection) == MemberId("m3");
+            });
+            group.advanceTime(50ms);
+        }
+    };
+    for (const auto &[connection, owner] : std::map(group.connectionMembers)) {
+        if (owner == MemberId("m3")) {
+            group.home.connectionFailed(connection, ConnectFailure::Lost, group.now);
+        }
+    }
+    runFor(8s);
+    const HomeRequest served = group.writeRequest("w1");
+    group.home.request(served, group.now);
+    group.answerAll();
+    REQUIRE(group.replyTo(served.number) != nullptr);
+    CHECK(group.replyTo(served.number)->answer.isSuccess());
+    // Not for ever: a change of primary that cannot fence the replica waits for the end of this time.
+    runFor(8s);
+    const HomeRequest late = group.writeRequest("w2");
+    group.home.request(late, group.now);
+    group.answerAll();
+    group.advanceTime(900ms);
+    REQUIRE(group.replyTo(late.number) != nullptr);
+    CHECK_FALSE(group.replyTo(late.number)->answer.isSuccess());
+}
+
 TEST_CASE("A read whose connection is lost is retried", "[grouphome]")
 {
     FakeGroup group;
--- a/decisions/test/session/grouphomefailover_test.cpp
+++ b/decisions/test/session/grouphomefailover_test.cpp
@@ -54,6 +54,77 @@
     CHECK(group.promotionOrders.front().second == group.termRevision);
 }
 
+namespace
+{
+
+/// Makes another home a lease holder, and crashes the primary and one replica, which is a witness.
+void crashPrimaryAndWitness(FakeGroup &group)
+{
+    group.makeHealthy();
+    TermRecord record = *group.storedTerm;
+    REQUIRE(record.witnesses == std::vector{MemberId("m2"), MemberId("m3")});
+    record.homes.emplace_back("b1/1");
+    group.home.termSeen(record, ++group.termRevision, group.now, group.now);
+    crashMember(group, "m2");
+    crashMember(group, "m1");
+    group.home.peersAnswered(MemberId("m1"), 0, 2, group.now);
+    group.completeTermWrite();
+}
+
+/// As runUntil(), with a store that answers, and for at most `time`.
+template<typename Condition>
+bool runWithStoreUntil(FakeGroup &group, Duration time, Condition isDone)
+{
+    for (Duration elapsed{}; elapsed < time && !isDone(); elapsed += 20ms) {
+        group.answerAll();
+        group.home.termSeen(group.storedTerm, group.termRevision, group.now, group.now);
+        group.advanceTime(20ms);
+    }
+    return isDone();
+}
+
+} // namespace
+
+TEST_CASE("No promotion is ordered while a lease holder may rely on a witness that cannot be fenced", "[grouphomefailover]")
+{
+    FakeGroup group;
+    crashPrimaryAndWitness(group);
+    const auto isOrdered = [&] {
+        return !group.promotionOrders.empty();
+    };
+    CHECK_FALSE(runWithStoreUntil(group, PrimaryLease::witnessTerm, isOrdered));
+    CHECK(runWithStoreUntil(group, 3s, isOrdered));
+}
+
+TEST_CASE("A promotion is ordered as soon as all lease holders have yielded", "[grouphomefailover]")
+{
+    FakeGroup group;
+    crashPrimaryAndWitness(group);
+    REQUIRE(group.yieldRequests == std::vector<std::string>{"b1/1"});
+    const auto isOrdered = [&] {
+        return !group.promotionOrders.empty();
+    };
+    CHECK_FALSE(runWithStoreUntil(group, 1s, isOrdered));
+    group.home.leaseYielded("b1/1", group.storedTerm->generation, group.now);
+    CHECK(runWithStoreUntil(group, 200ms, isOrdered));
+}
+
+TEST_CASE("A home that takes over an unfinished change waits for the lease holders of the old primary", "[grouphomefailover]")
+{
+    FakeGroup group;
+    group.makeHealthy();
+    TermRecord record = *group.storedTerm;
+    record.generation = 2;
+    record.primary = MemberId();
+    record.homes = {"c1/1", "b1/1"};
+    group.home.termSeen(record, ++group.termRevision, group.now, group.now);
+    group.advanceTime(5s);
+    REQUIRE(group.termWrites.back().first.generation == 3);
+    CHECK(group.termWrites.back().first.homes == std::vector<std::string>{"a1/1", "c1/1", "b1/1"});
+    group.completeTermWrite();
+    CHECK(group.yieldRequests == std::vector<std::string>{"b1/1", "c1/1"});
+}
+
 TEST_CASE("A home recognizes the primary whose promotion it ordered, and sends writes to it", "[grouphomefailover]")
 {
     FakeGroup group;
