--- a/sessions/include/rattanbeam/sessions/eventloop.h
+++ b/sessions/include/rattanbeam/sessions/eventloop.h
@@ -13,17 +13,16 @@
 namespace rattanbeam::sessions
 {
 
-/// The event loop of an instance. Sessions, homes and their connections run on the one thread that calls run().
+/// The event loop of an instance. Sessions, homes and their connections run on the one thread that calls run(). One failed function does
+/// not end the process, since all other sessions depend on it too.
 class EventLoop
 {
 public:
     /// Monotonic time that also advances while the machine is suspended, so that no lease outlasts a suspension.
     static decisions::TimePoint now();
 
-    void run()
-    {
-        m_context.run();
-    }
+    /// Runs until stop(). An exception that a function on the loop throws ends that function only: it is logged, and the loop goes on.
+    void run();
     void stop()
     {
         m_context.stop();
@@ -35,7 +34,7 @@
     }
     /// Calls `function` once, after `delay`.
     void after(decisions::Duration delay, std::function<void()> function);
-    /// Calls `function` repeatedly, each time `interval` after the previous call has returned.
+    /// Calls `function` repeatedly, each time `interval` after the previous call has returned or thrown.
     void every(decisions::Duration interval, std::function<void()> function);
     boost::asio::io_context &context()
     {
--- a/sessions/include/rattanbeam/sessions/internal/directory.h
+++ b/sessions/include/rattanbeam/sessions/internal/directory.h
@@ -45,7 +45,7 @@
 
     /// Lists all collections, then watches them.
     void start();
-    /// Called after each change of configuration, members or instances.
+    /// Called on the loop after changes of configuration, members or instances; once for all changes of one turn of the loop.
     void onChange(std::function<void()> listener)
     {
         m_changeListener = std::move(listener);
@@ -96,6 +96,11 @@
     }
     /// The last known term record and its revision; the revision is 0 if there is no record.
     std::pair<std::optional<TermRecord>, std::uint64_t> term(const ServiceName &service) const;
+    /// Differs after each change of the instances' records.
+    std::uint64_t instancesDigest() const
+    {
+        return m_instances.digest;
+    }
     bool areTermsLoaded() const
     {
         return m_terms.isLoaded;
@@ -121,6 +126,8 @@
         /// Number of the latest watch; answers to earlier ones are ignored.
         std::uint64_t watchNumber = 0;
         bool isWatching = false;
+        /// When a watch last ended with events.
+        TimePoint lastEventAt = decisions::distantPast;
         /// Waits until the collection that probes the store reaches it again.
         bool isWaitingForStore = false;
         /// Digest of the names and revisions of all records, to compare directories.
@@ -145,6 +152,7 @@
     void updateStoreReachability(StoreOutcome outcome);
     std::chrono::milliseconds watchWait(Collection collection) const;
     void adoptConfiguration(const FleetConfiguration &configuration, const char *source);
+    void reportChange();
 
     EventLoop &m_loop;
     RecordStore &m_store;
@@ -170,6 +178,7 @@
     std::map<std::string, std::uint64_t> m_requestedDigests;
     SnapshotRequester m_requestSnapshot;
     std::function<void()> m_changeListener;
+    bool m_isChangeReportPending = false;
     TermListener m_termListener;
 };
 
--- a/sessions/include/rattanbeam/sessions/internal/entryservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/entryservice.h
@@ -21,6 +21,14 @@
 namespace rattanbeam::sessions::internal
 {
 
+/// A home as an entry reaches it: its address, and the stream that connects them. The default value stands for this instance.
+struct HomeStream {
+    std::string address;
+    PeerLinks::StreamNumber stream = 0;
+
+    auto operator<=>(const HomeStream &) const = default;
+};
+
 /// Holds the sessions of this instance's clients. Answers statements that need no member itself, and forwards the others to the
 /// home of their service.
 class EntryService : public FrontHandler
@@ -38,13 +46,18 @@
     void sessionClosed(SessionNumber session) override;
 
     /// A home replied to a forwarded statement.
-    void replyArrived(const link::v1::StatementReply &reply);
-    /// The link to another instance is lost; `unsent` holds the frames that were never handed over, so none of them was handled.
-    void linkLost(const std::string &address, const std::deque<link::v1::Frame> &unsent);
+    void replyArrived(const HomeStream &home, const link::v1::StatementReply &reply);
+    /// The stream to another instance is lost; `unsent` holds the frames that were never handed over, so none of them was handled.
+    void linkLost(const HomeStream &home, const std::deque<link::v1::Frame> &unsent);
+    /// Another instance is silent, and may only be slow. Sends what may be repeated to other homes; the rest waits for its answers.
+    void linkSilent(const HomeStream &home);
     /// Answers statements whose home did not reply in time. To be called every few milliseconds.
     void tick();
     /// Closes the sessions that have no transaction open and no statement under way or queued.
     void closeIdleSessions();
+    /// Answers all statements under way, since this process is about to end: those that may have written as in doubt, the others as
+    /// without effect. Statements that arrive later are refused.
+    void endPendingRequests();
     /// Whether there are no sessions and no pending requests.
     bool isQuiet() const;
     /// Number of open sessions.
@@ -73,8 +86,8 @@
         SessionNumber session = 0;
         ForwardedStatement forwarded;
         Route route;
-        /// Address of the home that it was last sent to; empty if that is this instance.
-        std::string home;
+        /// The home that it was last sent to.
+        HomeStream home;
         /// Number of times that a home was chosen for it.
         std::uint32_t attempts = 0;
         TimePoint arrivedAt{};
@@ -92,8 +105,12 @@
     bool sendTo(const std::string &address, std::uint64_t request, bool isSubstitute);
     void complete(std::uint64_t request, const Answer &answer, bool isTransactionOpen);
     void endTransactionAt(const std::string &home, SessionNumber session, std::uint64_t transaction);
-    /// The link to the request's home was lost. Sends the request to another home if repeating it is safe, and fails it otherwise.
+    /// Whether the request, once sent, may be sent to another home: without a commit, it has no lasting effect.
+    static bool isRepeatable(const PendingRequest &pending);
+    /// The stream to the request's home was lost. Sends the request to another home if repeating it is safe, and fails it otherwise.
     void retryOrFail(std::uint64_t request, bool wasUnsent);
+    /// Whether the request, once sent, may have a lasting effect: a single write, or the commit of a transaction.
+    static bool mayHaveWritten(const PendingRequest &pending);
     void logOutcome(const PendingRequest &pending, const Answer &answer);
 
     EventLoop &m_loop;
@@ -106,6 +123,8 @@
     SessionNumber m_lastSessionNumber = 0;
     std::map<std::uint64_t, PendingRequest> m_pendingRequests;
     std::uint64_t m_lastRequestNumber = 0;
+    /// Whether endPendingRequests() was called.
+    bool m_isEnding = false;
     /// By service and address of a home that redirected a request: when the service's requests are sent there again.
     std::map<std::pair<ServiceName, std::string>, TimePoint> m_homeAvoidedUntil;
     /// Start of the second in which the successes below were counted.
--- a/sessions/include/rattanbeam/sessions/internal/homeservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/homeservice.h
@@ -112,6 +112,8 @@
     bool m_isRedirecting = false;
     std::map<ServiceName, HomeRanking> m_rankings;
     std::vector<InstanceRecord> m_relays;
+    /// Digest of the instances and version of the configuration that the plan was made from.
+    std::pair<std::uint64_t, std::uint64_t> m_planBasis;
     std::map<ServiceName, std::unique_ptr<ServiceHome>> m_serviceHomes;
     std::map<RequestNumber, ReplyCallback> m_replyCallbacks;
     RequestNumber m_lastRequestNumber = 0;
--- a/sessions/include/rattanbeam/sessions/internal/peerlinks.h
+++ b/sessions/include/rattanbeam/sessions/internal/peerlinks.h
@@ -16,21 +16,35 @@
 /// Links to the instances that this one sends requests to, opened on demand. A link is established once the peer has answered
 /// a ping. Until then frames are queued, so that a request that was never sent is known not to have run.
 ///
-///     PeerLinks links(loop, frameArrived, linkLost, pongArrived);
+/// A peer that goes silent may only be slow. New frames are refused until it answers, on a new stream, and the old stream stays open for a
+/// moment, so that answers to what it was sent before still arrive.
+///
+///     PeerLinks links(loop, {frameArrived, linkLost, linkSilent, pongArrived});
 ///     if (!links.send(address, frame)) { tryAnotherInstance(); }
 class PeerLinks
 {
 public:
-    /// The link was lost. The `unsent` frames were not handled; all others may have been.
-    using LinkLost = std::function<void(const std::string &address, const std::deque<Frame> &unsent)>;
+    /// Counts the streams opened to one peer.
+    using StreamNumber = std::uint64_t;
+    /// The stream was lost. The `unsent` frames were not handled; all others may have been.
+    using LinkLost = std::function<void(const std::string &address, StreamNumber stream, const std::deque<Frame> &unsent)>;
+    /// The peer sends nothing on the stream. All frames sent on it may have been handled, and answers may still arrive until it is lost.
+    using LinkSilent = std::function<void(const std::string &address, StreamNumber stream)>;
     /// A peer reported the versions and digests of its fleet records. The latest ping to it was sent at `pingSentAt`.
     using PongArrived = std::function<void(const std::string &address, const link::v1::Pong &pong, decisions::TimePoint pingSentAt)>;
-    using FrameArrived = std::function<void(const std::string &address, const Frame &frame)>;
+    using FrameArrived = std::function<void(const std::string &address, StreamNumber stream, const Frame &frame)>;
+    struct Callbacks {
+        FrameArrived frameArrived;
+        LinkLost linkLost;
+        LinkSilent linkSilent;
+        PongArrived pongArrived;
+    };
 
-    PeerLinks(EventLoop &loop, FrameArrived frameArrived, LinkLost linkLost, PongArrived pongArrived);
+    PeerLinks(EventLoop &loop, Callbacks callbacks);
 
-    /// Returns false if the frame was not sent: the peer is unreachable, or the queue of an unestablished link is full.
-    bool send(const std::string &address, const Frame &frame);
+    /// Returns the stream that the frame was sent on, or will be once the link is established. No value if it was not sent: the peer is
+    /// unreachable, or the queue of an unestablished link is full.
+    std::optional<StreamNumber> send(const std::string &address, const Frame &frame);
     bool isEstablished(const std::string &address) const;
     /// Whether the last attempt to reach the peer failed, so that send() refuses frames until the peer answers again.
     bool isUnreachable(const std::string &address) const;
@@ -66,24 +80,33 @@
         bool isAwaitingAnswer = false;
         decisions::TimePoint lastFrameAt = decisions::distantPast;
         decisions::TimePoint lastUsed = decisions::distantPast;
+        /// When the first frame since the peer's last one was sent.
+        decisions::TimePoint firstUnansweredAt = decisions::distantPast;
         decisions::TimePoint nextAttemptAt = decisions::distantPast;
         decisions::Duration backoff{};
         bool isPersistent = false;
-        /// Counts the streams opened; events of earlier streams are ignored.
-        std::uint64_t streamNumber = 0;
+        /// Events of earlier streams are ignored, unless they linger.
+        StreamNumber streamNumber = 0;
+    };
+    /// The stream of a peer that went silent, kept for answers that are still to come.
+    struct LingeringStream {
+        std::shared_ptr<FrameStream> stream;
+        decisions::TimePoint expiresAt;
     };
 
     void open(const std::string &address, Link &link);
     void ping(Link &link);
-    static bool isPingDue(const Link &link, decisions::TimePoint now);
-    void handleFrame(const std::string &address, std::uint64_t streamNumber, const Frame &frame);
-    void linkFailed(const std::string &address, std::uint64_t streamNumber, bool isSilent);
+    static bool isPingDue(const Link &link, decisions::Duration interval, decisions::TimePoint now);
+    decisions::Duration pingInterval(decisions::TimePoint now) const;
+    void handleFrame(const std::string &address, StreamNumber streamNumber, const Frame &frame);
+    void streamEnded(const std::string &address, StreamNumber streamNumber);
+    void linkFailed(const std::string &address, StreamNumber streamNumber, bool isSilent);
+    void endLingeringStreams(decisions::TimePoint now);
 
     EventLoop &m_loop;
-    FrameArrived m_frameArrived;
-    LinkLost m_linkLost;
-    PongArrived m_pongArrived;
+    Callbacks m_callbacks;
     std::map<std::string, Link> m_links;
+    std::map<std::pair<std::string, StreamNumber>, LingeringStream> m_lingeringStreams;
 };
 
 } // namespace rattanbeam::sessions::internal
--- a/sessions/src/eventloop.cpp
+++ b/sessions/src/eventloop.cpp
@@ -1,10 +1,41 @@
 #include "rattanbeam/sessions/eventloop.h"
 
+#include "rattanbeam/kernel/logevent.h"
+
 #include <ctime>
+#include <exception>
 
 namespace rattanbeam::sessions
 {
 
+namespace
+{
+
+/// Calls the function and returns whether it returned normally; logs what it throws.
+template<typename Function>
+bool callGuarded(Function &&function)
+{
+    try {
+        function();
+        return true;
+    } catch (const std::exception &error) {
+        kernel::LogEvent("unexpected-error", kernel::LogLevel::Error).with("reason", error.what());
+    }
+    return false;
+}
+
+} // namespace
+
+void EventLoop::run()
+{
+    const auto runContext = [this] {
+        m_context.run();
+    };
+    while (!callGuarded(runContext)) {
+        // The function that threw has been taken off the loop; the rest goes on.
+    }
+}
+
 decisions::TimePoint EventLoop::now()
 {
     timespec time{};
@@ -25,7 +56,7 @@
 void EventLoop::every(decisions::Duration interval, std::function<void()> function)
 {
     after(interval, [this, interval, function = std::move(function)] {
-        function();
+        callGuarded(function);
         every(interval, function);
     });
 }
--- a/sessions/src/internal/directory.cpp
+++ b/sessions/src/internal/directory.cpp
@@ -25,17 +25,19 @@
 constexpr decisions::Duration relayTrustMargin = 500ms; // added to a relay's watch wait before its confirmation expires
 constexpr decisions::Duration firstWatchDelay = 1000ms; // from a list to its watch, which is not needed if peers report in this time
 constexpr decisions::Duration watchAnswerLatency = 20ms; // maximum age of a watch's answer on arrival
+constexpr decisions::Duration eventBurstGap = 500ms; // events that follow others within this time belong to a burst
 constexpr decisions::Duration minBackoff = 100ms;
 constexpr decisions::Duration maxBackoff = 800ms;
 
-/// Delay before the next watch after events, so that one call receives several changes that occur close together.
-decisions::Duration eventBatchDelay(Collection collection, bool isRelay)
+/// Delay before the next watch after events, so that one call receives several changes that occur close together. `isBurst`: the events
+/// followed others closely.
+decisions::Duration eventBatchDelay(Collection collection, bool isRelay, bool isBurst)
 {
     switch (collection) {
     case Collection::Configuration:
         return {};
     case Collection::Members:
-        return isRelay ? 20ms : 200ms;
+        return isRelay ? (isBurst ? 150ms : 20ms) : 200ms;
     case Collection::Instances:
         return 400ms;
     case Collection::Terms:
@@ -249,7 +251,13 @@
     if (state.isWatching) {
         return; // the store became reachable again, and all watches were restarted
     }
-    scheduleWatch(state, records.empty() ? decisions::Duration() : eventBatchDelay(state.collection, m_isRelay));
+    if (records.empty()) {
+        scheduleWatch(state, decisions::Duration());
+        return;
+    }
+    const TimePoint now = EventLoop::now();
+    const bool isBurst = now - std::exchange(state.lastEventAt, now) < eventBurstGap;
+    scheduleWatch(state, eventBatchDelay(state.collection, m_isRelay, isBurst));
 }
 
 void Directory::scheduleWatch(CollectionState &state, decisions::Duration delay)
@@ -315,12 +323,18 @@
 
 void Directory::applyList(CollectionState &state, const std::vector<Record> &records, std::uint64_t revision, TimePoint startedAt)
 {
+    // A list older than this directory, such as that of a peer that is behind, may hold records that have been removed since.
+    const std::uint64_t knownRevision = state.isLoaded ? state.revision : 0;
+    const bool isFirstList = !state.isLoaded;
     state.revision = std::max(state.revision, revision);
     state.isLoaded = true;
     std::set<std::string> listedNames;
     bool isChanged = false;
     for (const Record &record : records) {
         listedNames.insert(record.name);
+        if (record.revision <= knownRevision && revision < knownRevision && !state.records.contains(record.name)) {
+            continue;
+        }
         isChanged = applyRecord(state, record, startedAt) || isChanged;
     }
     for (auto entry = state.records.begin(); entry != state.records.end();) {
@@ -334,11 +348,24 @@
         m_termListener(ServiceName(), std::nullopt, revision, startedAt);
     }
     LogEvent("listed").with("collection", collectionName(state.collection)).with("records", records.size()).with("revision", revision);
-    if (isChanged && m_changeListener) {
-        m_changeListener();
+    if (isChanged || isFirstList) {
+        reportChange();
     }
 }
 
+void Directory::reportChange()
+{
+    if (std::exchange(m_isChangeReportPending, true)) {
+        return;
+    }
+    m_loop.post([this] {
+        m_isChangeReportPending = false;
+        if (m_changeListener) {
+            m_changeListener();
+        }
+    });
+}
+
 /// Events of a watch describe past changes, so they are no evidence of the present state.
 void Directory::applyEvents(CollectionState &state, const std::vector<Record> &records)
 {
@@ -347,8 +374,8 @@
         isChanged = applyRecord(state, record, decisions::distantPast) || isChanged;
     }
     state.digest = computeDigest(state);
-    if (isChanged && m_changeListener) {
-        m_changeListener();
+    if (isChanged) {
+        reportChange();
     }
 }
 
--- a/sessions/src/internal/entryservice.cpp
+++ b/sessions/src/internal/entryservice.cpp
@@ -159,6 +159,11 @@
     }
     const TimePoint now = EventLoop::now();
     const bool continuesTransaction = pending.forwarded.transaction != 0 && !pending.forwarded.opensTransaction;
+    if (m_isEnding) {
+        const StatementError error = continuesTransaction ? StatementError::Aborted : StatementError::Busy;
+        complete(request, Answer::failure(error, "instance-stops", SessionPhase::Idle), false);
+        return;
+    }
     if (continuesTransaction) {
         const std::string home = m_sessions.at(pending.session).transactionHome;
         if (!sendTo(home, request, false)) {
@@ -221,32 +226,44 @@
         message.mutable_own()->set_number(lastCommit->position);
     }
     message.set_substitute(isSubstitute);
-    pending.home = address;
     if (forwarded.opensTransaction) {
         session.transactionHome = address;
     }
     if (address == localHome) {
+        pending.home = {};
         m_homes.handleStatement("local", message, [this](const link::v1::StatementReply &reply) {
             m_loop.post([this, reply] {
-                replyArrived(reply);
+                replyArrived({}, reply);
             });
         });
         return true;
     }
-    return m_links.send(address, frame);
+    const auto stream = m_links.send(address, frame);
+    pending.home = {address, stream.value_or(0)};
+    return stream.has_value();
 }
 
-void EntryService::replyArrived(const link::v1::StatementReply &reply)
+void EntryService::replyArrived(const HomeStream &home, const link::v1::StatementReply &reply)
 {
     const auto found = m_pendingRequests.find(reply.request());
     if (found == m_pendingRequests.end()) {
         return;
     }
     PendingRequest &pending = found->second;
+    if (pending.home != home) {
+        // It was sent to another home since. The answer to a read is as good as the other's; a transaction at the silent home is not used,
+        // and rolled back there when its stream ends.
+        const bool isPlainRead = pending.forwarded.transaction == 0 && pending.forwarded.isReadOnly;
+        const Answer answer = answerOf(reply);
+        if (isPlainRead && answer.isSuccess()) {
+            complete(reply.request(), answer, false);
+        }
+        return;
+    }
     const bool mayRedirect = reply.elsewhere() && (pending.forwarded.transaction == 0 || pending.forwarded.opensTransaction);
     if (mayRedirect) {
-        m_homeAvoidedUntil[{pending.route.service, pending.home}] = EventLoop::now() + redirectCooldown;
-        pending.triedHomes.insert(pending.home);
+        m_homeAvoidedUntil[{pending.route.service, home.address}] = EventLoop::now() + redirectCooldown;
+        pending.triedHomes.insert(home.address);
         forward(reply.request());
         return;
     }
@@ -261,7 +278,7 @@
     logOutcome(pending, answer);
     if (found == m_sessions.end()) {
         if (isTransactionOpen) {
-            endTransactionAt(pending.home, pending.session, pending.forwarded.transaction);
+            endTransactionAt(pending.home.address, pending.session, pending.forwarded.transaction);
         }
         return;
     }
@@ -307,11 +324,8 @@
         m_pendingRequests.erase(request);
         return;
     }
-    // The first statement of a transaction may be repeated: without a commit, its effects are rolled back.
-    const bool mayRetry
-        = !continuesTransaction && (wasUnsent || (pending.forwarded.isReadOnly && !isCommit) || pending.forwarded.opensTransaction);
-    if (mayRetry && !(isCommit && !wasUnsent && !pending.forwarded.isReadOnly)) {
-        pending.triedHomes.insert(pending.home);
+    if (isRepeatable(pending) || (wasUnsent && !continuesTransaction)) {
+        pending.triedHomes.insert(pending.home.address);
         forward(request);
     } else if (wasUnsent || (pending.forwarded.transaction != 0 && !isCommit) || pending.forwarded.isReadOnly) {
         complete(request, Answer::failure(StatementError::Aborted, "home-lost", SessionPhase::Failed), false);
@@ -320,7 +334,33 @@
     }
 }
 
-void EntryService::linkLost(const std::string &address, const std::deque<link::v1::Frame> &unsent)
+bool EntryService::isRepeatable(const PendingRequest &pending)
+{
+    const bool isCommit = pending.forwarded.statement.kind == StatementKind::Commit;
+    const bool continuesTransaction = pending.forwarded.transaction != 0 && !pending.forwarded.opensTransaction;
+    if (continuesTransaction) {
+        return false;
+    }
+    // The first statement of a transaction may be repeated: without a commit, its effects are rolled back.
+    return pending.forwarded.opensTransaction ? !isCommit || pending.forwarded.isReadOnly : pending.forwarded.isReadOnly && !isCommit;
+}
+
+void EntryService::linkSilent(const HomeStream &home)
+{
+    std::vector<std::uint64_t> repeatable;
+    for (const auto &[request, pending] : m_pendingRequests) {
+        if (pending.home == home && isRepeatable(pending)) {
+            repeatable.push_back(request);
+        }
+    }
+    for (const std::uint64_t request : repeatable) {
+        if (m_pendingRequests.contains(request)) {
+            retryOrFail(request, false);
+        }
+    }
+}
+
+void EntryService::linkLost(const HomeStream &home, const std::deque<link::v1::Frame> &unsent)
 {
     std::set<std::uint64_t> unsentRequests;
     for (const link::v1::Frame &frame : unsent) {
@@ -330,7 +370,7 @@
     }
     std::vector<std::uint64_t> lostRequests;
     for (const auto &[request, pending] : m_pendingRequests) {
-        if (pending.home == address) {
+        if (pending.home == home) {
             lostRequests.push_back(request);
         }
     }
@@ -352,17 +392,31 @@
     }
     for (const std::uint64_t request : overdue) {
         if (m_pendingRequests.contains(request)) {
-            const PendingRequest &pending = m_pendingRequests.at(request);
-            const bool mayHaveWritten = pending.forwarded.transaction == 0 ? !pending.forwarded.isReadOnly
-                                                                           : pending.forwarded.statement.kind == StatementKind::Commit;
-            complete(
-                request,
-                Answer::failure(mayHaveWritten ? StatementError::InDoubt : StatementError::TimedOut, "home-silent", SessionPhase::Idle),
-                false);
+            const StatementError error = mayHaveWritten(m_pendingRequests.at(request)) ? StatementError::InDoubt : StatementError::TimedOut;
+            complete(request, Answer::failure(error, "home-silent", SessionPhase::Idle), false);
         }
     }
 }
 
+bool EntryService::mayHaveWritten(const PendingRequest &pending)
+{
+    const bool isCommit = pending.forwarded.statement.kind == StatementKind::Commit;
+    return pending.forwarded.transaction == 0 ? !pending.forwarded.isReadOnly : isCommit;
+}
+
+void EntryService::endPendingRequests()
+{
+    m_isEnding = true;
+    std::vector<std::uint64_t> requests;
+    for (const auto &[request, pending] : m_pendingRequests) {
+        requests.push_back(request);
+    }
+    for (const std::uint64_t request : requests) {
+        const StatementError error = mayHaveWritten(m_pendingRequests.at(request)) ? StatementError::InDoubt : StatementError::Aborted;
+        complete(request, Answer::failure(error, "instance-stops", SessionPhase::Idle), false);
+    }
+}
+
 void EntryService::closeIdleSessions()
 {
     std::vector<SessionNumber> idleSessions;
@@ -409,7 +463,7 @@
         .with("service", pending.route.service)
         .with("route", consistencyName(pending.route.consistency))
         .with("version", m_directory.configuration()->version)
-        .with("home", pending.home.empty() ? "self" : pending.home)
+        .with("home", pending.home.address.empty() ? "self" : pending.home.address)
         .with("attempts", pending.attempts)
         .with("error", answer.error)
         .with("reason", answer.errorText)
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -201,8 +201,13 @@
     return ensureServiceHome(service)->home();
 }
 
+/// Plans again if the instances or the configuration have changed: in a large fleet a plan takes milliseconds.
 void HomeService::planHomesAndRelays()
 {
+    const std::pair basis(m_directory.instancesDigest(), m_directory.configuration()->version);
+    if (std::exchange(m_planBasis, basis) == basis) {
+        return;
+    }
     const auto instances = m_directory.instances();
     std::vector<ServiceName> services;
     for (const ServiceLimits &limits : m_directory.configuration()->services) {
--- a/sessions/src/internal/peerlinks.cpp
+++ b/sessions/src/internal/peerlinks.cpp
@@ -17,41 +17,47 @@
 namespace
 {
 
-constexpr decisions::Duration pingInterval = 500ms;
-constexpr decisions::Duration activeLinkMaxSilence = 250ms; // an active link without a frame for this long is pinged early
+constexpr decisions::Duration minPingInterval = 500ms;
+constexpr decisions::Duration maxPingInterval = 2s;
+// A peer that owes an answer and sends no frame for this long is pinged early; with few links, so is each peer in use.
+constexpr decisions::Duration answerMaxSilence = 250ms;
+constexpr std::size_t maxPingsPerSecond = 16; // to all peers together; beyond it, links are pinged less often
 constexpr decisions::Duration pingTimeout = 500ms;
 constexpr decisions::Duration activeLinkPeriod = 2s; // after its last use; later, only persistent links are pinged
 constexpr decisions::Duration reconnectPeriod = 30s; // after its last use, a lost peer is retried for this long
 constexpr decisions::Duration minBackoff = 200ms;
 constexpr decisions::Duration maxBackoff = 1s;
 constexpr std::size_t maxUnsentFrames = 1024;
+constexpr decisions::Duration lingerTime = 1500ms; // after a peer went silent, for the answers to what it was sent before
 
 } // namespace
 
-PeerLinks::PeerLinks(EventLoop &loop, FrameArrived frameArrived, LinkLost linkLost, PongArrived pongArrived)
-    : m_loop(loop), m_frameArrived(std::move(frameArrived)), m_linkLost(std::move(linkLost)), m_pongArrived(std::move(pongArrived))
+PeerLinks::PeerLinks(EventLoop &loop, Callbacks callbacks) : m_loop(loop), m_callbacks(std::move(callbacks))
 {}
 
-bool PeerLinks::send(const std::string &address, const Frame &frame)
+std::optional<PeerLinks::StreamNumber> PeerLinks::send(const std::string &address, const Frame &frame)
 {
     Link &link = m_links[address];
     const TimePoint now = EventLoop::now();
     link.lastUsed = now;
+    if (link.firstUnansweredAt <= link.lastFrameAt) {
+        link.firstUnansweredAt = now;
+    }
     if (link.isUnreachable) {
-        return false;
+        return std::nullopt;
     }
     if (!link.stream) {
         open(address, link);
     }
     if (!link.isEstablished) {
         if (link.unsent.size() >= maxUnsentFrames) {
-            return false;
+            return std::nullopt;
         }
         link.unsent.push_back(frame);
-        return true;
+        return link.streamNumber;
     }
     link.stream->write(frame);
-    return true;
+    return link.streamNumber;
 }
 
 void PeerLinks::setPersistentPeers(const std::set<std::string> &addresses)
@@ -88,7 +94,7 @@
 
 void PeerLinks::open(const std::string &address, Link &link)
 {
-    const std::uint64_t streamNumber = ++link.streamNumber;
+    const StreamNumber streamNumber = ++link.streamNumber;
     link.isEstablished = false;
     link.isLeaving = false;
     FrameEvents events;
@@ -96,7 +102,7 @@
         handleFrame(address, streamNumber, frame);
     };
     events.ended = [this, address, streamNumber] {
-        linkFailed(address, streamNumber, false);
+        streamEnded(address, streamNumber);
     };
     link.stream = connectInstance(m_loop, address, std::move(events));
     ping(link);
@@ -111,8 +117,14 @@
     link.stream->write(frame);
 }
 
-void PeerLinks::handleFrame(const std::string &address, std::uint64_t streamNumber, const Frame &frame)
+void PeerLinks::handleFrame(const std::string &address, StreamNumber streamNumber, const Frame &frame)
 {
+    if (m_lingeringStreams.contains({address, streamNumber})) {
+        if (!frame.has_pong()) {
+            m_callbacks.frameArrived(address, streamNumber, frame);
+        }
+        return;
+    }
     Link &link = m_links[address];
     if (streamNumber != link.streamNumber || !link.stream) {
         return;
@@ -132,21 +144,29 @@
     }
     if (frame.has_pong()) {
         link.isLeaving = frame.pong().leaving();
-        m_pongArrived(address, frame.pong(), pingSentAt);
+        m_callbacks.pongArrived(address, frame.pong(), pingSentAt);
         return;
     }
-    m_frameArrived(address, frame);
+    m_callbacks.frameArrived(address, streamNumber, frame);
 }
 
-void PeerLinks::linkFailed(const std::string &address, std::uint64_t streamNumber, bool isSilent)
+void PeerLinks::streamEnded(const std::string &address, StreamNumber streamNumber)
+{
+    if (m_lingeringStreams.erase({address, streamNumber}) > 0) {
+        m_callbacks.linkLost(address, streamNumber, {});
+    } else {
+        linkFailed(address, streamNumber, false);
+    }
+}
+
+void PeerLinks::linkFailed(const std::string &address, StreamNumber streamNumber, bool isSilent)
 {
     Link &link = m_links[address];
     if (streamNumber != link.streamNumber || !link.stream) {
         return;
     }
     const bool wasEstablished = link.isEstablished;
-    link.stream->close();
-    link.stream.reset();
+    const std::shared_ptr<FrameStream> stream = std::exchange(link.stream, nullptr);
     link.isEstablished = false;
     link.backoff
         = wasEstablished ? decisions::Duration(minBackoff / 4) : std::clamp<decisions::Duration>(link.backoff * 2, minBackoff, maxBackoff);
@@ -157,7 +177,27 @@
     const char *cause = isSilent ? "silent" : "ended";
     LogEvent("peer-lost", LogLevel::Warning).with("peer", address).with("cause", cause).with("unsent", link.unsent.size());
     const std::deque<Frame> unsent = std::exchange(link.unsent, {});
-    m_linkLost(address, unsent);
+    if (isSilent && wasEstablished) {
+        m_lingeringStreams[{address, streamNumber}] = {stream, EventLoop::now() + lingerTime};
+        m_callbacks.linkSilent(address, streamNumber);
+        return;
+    }
+    stream->close();
+    m_callbacks.linkLost(address, streamNumber, unsent);
+}
+
+void PeerLinks::endLingeringStreams(TimePoint now)
+{
+    std::vector<std::pair<std::string, StreamNumber>> expired;
+    for (const auto &[key, lingering] : m_lingeringStreams) {
+        if (now >= lingering.expiresAt) {
+            expired.push_back(key);
+        }
+    }
+    for (const auto &[address, streamNumber] : expired) {
+        m_lingeringStreams.at({address, streamNumber}).stream->close();
+        streamEnded(address, streamNumber);
+    }
 }
 
 void PeerLinks::paused(decisions::Duration pause)
@@ -165,13 +205,30 @@
     for (auto &[address, link] : m_links) {
         link.pingSentAt += pause;
     }
+    for (auto &[key, lingering] : m_lingeringStreams) {
+        lingering.expiresAt += pause;
+    }
 }
 
-bool PeerLinks::isPingDue(const Link &link, TimePoint now)
+/// A link that awaits an answer is pinged soon, so that a dead peer is noticed. The others are pinged the less often the more there are:
+/// an instance of a large fleet has links to all homes, each of which it uses now and then.
+bool PeerLinks::isPingDue(const Link &link, decisions::Duration interval, TimePoint now)
 {
     const bool isActive = now - link.lastUsed < activeLinkPeriod;
-    const bool isSilent = isActive && now - std::max(link.lastFrameAt, link.pingSentAt) > activeLinkMaxSilence;
-    return (isSilent || now - link.pingSentAt > pingInterval) && (isActive || link.isPersistent);
+    const bool isAnswerOwed = link.firstUnansweredAt > link.lastFrameAt;
+    const TimePoint quietSince = isAnswerOwed ? link.firstUnansweredAt : link.lastFrameAt;
+    const bool isAnswerLate
+        = (isAnswerOwed || interval == minPingInterval) && now - std::max(quietSince, link.pingSentAt) > answerMaxSilence;
+    return (isActive && isAnswerLate) || ((isActive || link.isPersistent) && now - link.pingSentAt > interval);
+}
+
+decisions::Duration PeerLinks::pingInterval(TimePoint now) const
+{
+    const auto pingedLinks = std::count_if(m_links.begin(), m_links.end(), [&](const auto &entry) {
+        return entry.second.isPersistent || now - entry.second.lastUsed < activeLinkPeriod;
+    });
+    const decisions::Duration interval = 1s * pingedLinks / static_cast<std::ptrdiff_t>(maxPingsPerSecond);
+    return std::clamp<decisions::Duration>(interval, minPingInterval, maxPingInterval);
 }
 
 TimePoint PeerLinks::lastFrameAt(const std::string &address) const
@@ -205,7 +262,9 @@
 void PeerLinks::tick()
 {
     const TimePoint now = EventLoop::now();
-    std::vector<std::pair<std::string, std::uint64_t>> timedOutLinks;
+    endLingeringStreams(now);
+    const decisions::Duration interval = pingInterval(now);
+    std::vector<std::pair<std::string, StreamNumber>> timedOutLinks;
     for (auto &[address, link] : m_links) {
         if (!link.stream) {
             if (link.isUnreachable && now >= link.nextAttemptAt && (link.isPersistent || now - link.lastUsed < reconnectPeriod)) {
@@ -215,7 +274,7 @@
         }
         if (link.isAwaitingAnswer && now - link.pingSentAt > pingTimeout) {
             timedOutLinks.emplace_back(address, link.streamNumber);
-        } else if (!link.isAwaitingAnswer && link.isEstablished && isPingDue(link, now)) {
+        } else if (!link.isAwaitingAnswer && link.isEstablished && isPingDue(link, link.isPersistent ? minPingInterval : interval, now)) {
             ping(link);
         }
     }
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -51,16 +51,24 @@
         , directory(loop, *ports.store, settings.configurationBound)
         , peerLinks(
               loop,
-              [this](const std::string &address, const link::v1::Frame &frame) {
-                  handlePeerReply(address, frame);
-              },
-              [this](const std::string &address, const std::deque<link::v1::Frame> &unsent) {
-                  directory.peerLost(address);
-                  entry.linkLost(address, unsent);
-              },
-              [this](const std::string &address, const link::v1::Pong &pong, TimePoint pingSentAt) {
-                  pongArrived(address, pong, pingSentAt);
-              })
+              {.frameArrived =
+                   [this](const std::string &address, internal::PeerLinks::StreamNumber stream, const link::v1::Frame &frame) {
+                       handlePeerReply({address, stream}, frame);
+                   },
+               .linkLost =
+                   [this](const std::string &address, internal::PeerLinks::StreamNumber stream, const std::deque<link::v1::Frame> &unsent) {
+                       directory.peerLost(address);
+                       entry.linkLost({address, stream}, unsent);
+                   },
+               .linkSilent =
+                   [this](const std::string &address, internal::PeerLinks::StreamNumber stream) {
+                       directory.peerLost(address);
+                       entry.linkSilent({address, stream});
+                   },
+               .pongArrived =
+                   [this](const std::string &address, const link::v1::Pong &pong, TimePoint pingSentAt) {
+                       pongArrived(address, pong, pingSentAt);
+                   }})
         , homes(loop, settings, incarnation, directory, peerLinks, ports)
         , entry(loop, settings, directory, peerLinks, homes, metrics)
         , fleetMonitor(loop, settings, *ports.store, directory, peerLinks, homes, entry)
@@ -80,7 +88,7 @@
     void requestSnapshot();
     internal::FrameEvents acceptPeer(const std::shared_ptr<internal::FrameStream> &stream);
     void handlePeerRequest(const std::string &peerName, const std::shared_ptr<internal::FrameStream> &stream, const link::v1::Frame &frame);
-    void handlePeerReply(const std::string &address, const link::v1::Frame &frame);
+    void handlePeerReply(const internal::HomeStream &home, const link::v1::Frame &frame);
     void pollDrain(const std::function<void()> &drained);
 
     EventLoop &loop;
@@ -238,8 +246,9 @@
 {
     internal::PeerDirectoryState peer;
     peer.address = address;
-    const auto instances = directory.instances();
-    peer.isSameDomain = std::any_of(instances.begin(), instances.end(), [&](const InstanceRecord &instance) {
+    const auto &records = directory.instanceRecords();
+    peer.isSameDomain = std::any_of(records.begin(), records.end(), [&](const auto &record) {
+        const auto &instance = std::get<InstanceRecord>(record.second.value);
         return instance.address == address && instance.domain == settings.domain;
     });
     peer.configurationVersion = pong.configuration_version();
@@ -379,11 +388,11 @@
     }
 }
 
-void SessionInstance::Implementation::handlePeerReply(const std::string &, const link::v1::Frame &frame)
+void SessionInstance::Implementation::handlePeerReply(const internal::HomeStream &home, const link::v1::Frame &frame)
 {
     switch (frame.body_case()) {
     case link::v1::Frame::kReply:
-        entry.replyArrived(frame.reply());
+        entry.replyArrived(home, frame.reply());
         break;
     case link::v1::Frame::kProbeReply:
         homes.probeAnswered(frame.probe_reply());
@@ -427,6 +436,7 @@
         return;
     }
     LogEvent("drain-ended").with("complete", isDone).with("sessions", entry.sessions());
+    entry.endPendingRequests();
     if (registrationRevision != 0) {
         ports.store->remove(
             Collection::Instances, settings.instance.text(), registrationRevision, [](StoreOutcome, const std::optional<Record> &) {});
--- a/sessions/test/sessioninstance_test.cpp
+++ b/sessions/test/sessioninstance_test.cpp
@@ -90,6 +90,55 @@
     CHECK(wasClosedFirst);
 }
 
+TEST_CASE("Statements under way when a drain reaches its time limit are answered before the process ends", "[sessioninstance]")
+{
+    InstanceFixture fixture;
+    REQUIRE(fixture.runUntil([&] {
+        return fixture.instance->isReady();
+    }));
+    const auto makeStatement = [](StatementKind kind, const std::string &id) {
+        Statement statement;
+        statement.id = id;
+        statement.kind = kind;
+        return statement;
+    };
+    FrontHandler &front = fixture.instance->front();
+    // Two transactions, so that their sessions stay open while the instance drains.
+    const auto [writer, writingClient] = fixture.openSession();
+    const auto [committer, committingClient] = fixture.openSession();
+    for (const SessionNumber session : {writer, committer}) {
+        front.statementArrived(session, makeStatement(StatementKind::Begin, "begin"));
+        front.statementArrived(session, InstanceFixture::makeWriteStatement("first"));
+    }
+    REQUIRE(fixture.runUntil([&, writing = writingClient, committing = committingClient] {
+        return writing->answers.size() == 2 && committing->answers.size() == 2;
+    }));
+    REQUIRE(writingClient->answers.back().isSuccess());
+    REQUIRE(committingClient->answers.back().isSuccess());
+    bool isDrained = false;
+    fixture.instance->drain([] {},
+                            [&] {
+                                isDrained = true;
+                            });
+    // The members do not answer any more. The statements arrive so late that their own time limits end after the drain.
+    fixture.members->executionTime = 1h;
+    fixture.runUntil(
+        [] {
+            return false;
+        },
+        fixture.settings.grace - 1300ms);
+    REQUIRE_FALSE(isDrained);
+    front.statementArrived(writer, InstanceFixture::makeWriteStatement("second"));
+    front.statementArrived(committer, makeStatement(StatementKind::Commit, "commit"));
+    REQUIRE(fixture.runUntil([&] {
+        return isDrained;
+    }));
+    REQUIRE(writingClient->answers.size() == 3);
+    CHECK(writingClient->answers.back().error == StatementError::Aborted);
+    REQUIRE(committingClient->answers.size() == 3);
+    CHECK(committingClient->answers.back().error == StatementError::InDoubt);
+}
+
 TEST_CASE("Store watches that have to detect changes within a time limit wait for at most 20 s", "[sessioninstance]")
 {
     InstanceFixture fixture;
