Witnesses are replicas that a change of primary can fence; an old read is not the answer to a write

Now only replicas that the home reaches become witnesses; a home that is the only holder takes those that have left out of the record, and stops relying on them before that write. Holders that do not answer are asked again every 500 ms, and fences are checked with a status, so that the fence's term does not grow with each check.

A change now knows its generation.

--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -222,6 +222,8 @@
         /// Latest term known to have been led before the change; 0 when it is not known.
         Term oldPrimaryTerm = 0;
         MemberId candidate;
+        /// The generation that this change began; 0 before its term record is written.
+        std::uint64_t generation = 0;
         /// Revision of the term record that began this change; sent with orders of promotion.
         std::uint64_t fencingToken = 0;
         /// Start of the change. With none under way: when the last one was abandoned, another term was adopted or fences were
@@ -234,6 +236,7 @@
         /// The old record's witnesses, and since when each is known to be fenced or to lead.
         std::vector<MemberId> witnesses;
         std::map<MemberId, TimePoint> fencedSince;
+        TimePoint yieldAskedAt = distantPast;
         /// When the leases were found to have ended; distantPast before that.
         TimePoint leasesEndedAt = distantPast;
         /// Members that have not confirmed their fence or, in a planned change, have not received all up to `finalPosition`.
@@ -314,11 +317,14 @@
     bool isEvidenceMissing(TimePoint now) const;
     void superviseGroup(TimePoint now);
     void advanceFencing(TimePoint now);
+    void askHoldersToYield(TimePoint now);
     void advanceLeaseWait(TimePoint now);
     void updateFencedWitnesses(const MemberId &id, const ReplicationStatus &status, TimePoint now);
     void fenceWitnesses(TimePoint now);
     bool haveLeasesEnded(TimePoint now) const;
-    bool isWitnessMissing() const;
+    std::vector<MemberId> reachableReplicas() const;
+    std::vector<MemberId> updatedWitnesses(const TermRecord &record) const;
+    void setLeaseWitnesses();
     void sampleWatermark(const LogPosition &position, TimePoint sentAt, TimePoint now);
     std::set<MemberId> replicaIds() const;
     void suspectPrimary(std::string_view cause, TimePoint now);
@@ -369,6 +375,7 @@
     bool m_isWritingTerm = false;
     TimePoint m_lastTermWriteAt = distantPast;
     TimePoint m_lastTermReadAt = distantPast;
+    TimePoint m_witnessesCheckedAt = distantPast;
     MemberId m_primary;
     PrimaryLease m_lease;
     std::deque<UnconfirmedAnswer> m_unconfirmedAnswers;
@@ -383,6 +390,9 @@
     TimePoint m_redirectUntil = distantPast;
     /// Consecutive changes that ended because the store did not accept the term record.
     std::uint32_t m_failedTermWrites = 0;
+    /// Witnesses that this home has taken out of the term record, or tried to, with the record's revision before that. They are no evidence
+    /// unless a later revision names them.
+    std::map<MemberId, std::uint64_t> m_droppedWitnesses;
     /// Since when the term record has named no primary; distantPast if it names one.
     TimePoint m_leaderlessSince = distantPast;
     /// Last time that no reachable replica was fenced.
--- a/decisions/src/session/grouphomecandidates.cpp
+++ b/decisions/src/session/grouphomecandidates.cpp
@@ -13,17 +13,24 @@
 
 constexpr Duration fenceTimeout = 500ms; // for the answers of all replicas
 constexpr Duration statusPollInterval = 40ms; // between commands to a member whose status a change of primary awaits
+constexpr Duration yieldAskInterval = 500ms; // between requests to the same lease holder
 constexpr Duration fenceCheckInterval = 200ms; // between checks that a fenced witness still is
 constexpr Duration earlierOrderTime = 2000ms; // maximum time of a call to the platform and of the promotion that it may have begun
 constexpr Duration lastResortAfter = 5000ms; // without a candidate, one that lacks the latest term is accepted
 
 } // namespace
 
-void GroupHome::beginFencing(TimePoint now)
+void GroupHome::askHoldersToYield(TimePoint now)
 {
+    m_change.yieldAskedAt = now;
     for (const std::string &home : m_change.leaseHolders) {
         m_effects.askToYield(home, m_term->generation);
     }
+}
+
+void GroupHome::beginFencing(TimePoint now)
+{
+    askHoldersToYield(now);
     m_change.pendingFences.clear();
     m_change.reportedPositions.clear();
     setStage(ChangeStage::Fencing, now + fenceTimeout);
@@ -170,8 +177,10 @@
             continue;
         }
         Member &member = found->second;
-        const Duration interval = m_change.fencedSince.contains(id) ? fenceCheckInterval : statusPollInterval;
-        if (now - member.statusAskedAt >= interval && sendMaintenance(member, CommandKind::Suspend, m_highestTerm + 1, now)) {
+        const bool isFenced = m_change.fencedSince.contains(id);
+        const Duration interval = isFenced ? fenceCheckInterval : statusPollInterval;
+        const CommandKind kind = isFenced ? CommandKind::Status : CommandKind::Suspend;
+        if (now - member.statusAskedAt >= interval && sendMaintenance(member, kind, m_highestTerm + 1, now)) {
             member.statusAskedAt = now;
         }
     }
@@ -198,6 +207,9 @@
 {
     if (!haveLeasesEnded(now)) {
         fenceWitnesses(now);
+        if (now - m_change.yieldAskedAt >= yieldAskInterval) {
+            askHoldersToYield(now);
+        }
         return;
     }
     m_change.leasesEndedAt = m_change.leasesEndedAt == distantPast ? now : m_change.leasesEndedAt;
--- a/decisions/src/session/grouphomefailover.cpp
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -158,6 +158,7 @@
             }
         }
     }
+    m_change.generation = record.generation;
     m_change.witnesses = record.witnesses;
     setStage(ChangeStage::WritingTerm, now + termWriteTimeout);
     m_lastTermWriteAt = now;
@@ -220,8 +221,8 @@
     m_term->primary = m_primary;
     m_term->term = m_members.at(m_primary).status->term;
     m_term->homes = {m_self};
-    const std::set<MemberId> replicas = replicaIds();
-    m_term->witnesses.assign(replicas.begin(), replicas.end());
+    m_term->witnesses = reachableReplicas();
+    m_droppedWitnesses.clear();
     m_effects.report({"primary-changed",
                       false,
                       {{"service", m_service.text()},
--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -13,7 +13,7 @@
 
 constexpr Duration minTermReadInterval = 150ms; // between reads of the term record
 constexpr Duration minTermWriteInterval = 300ms; // between attempts to list this home in the term record
-constexpr Duration witnessWriteInterval = 2000ms; // between writes of the term record that only add a witness
+constexpr Duration witnessCheckInterval = 1000ms; // between checks whether the term record names the right witnesses
 constexpr Duration witnessReadInterval = 4000ms; // between reads of the term record that keep the witnesses' word valid
 constexpr Duration redirectTime = 1000ms; // after the first failed write of the term record; doubles with each further one
 constexpr Duration missingEvidenceGrace = 300ms; // added to the duration of the lease
@@ -140,8 +140,11 @@
     }
     TermRecord record;
     if (m_term) {
-        const bool isComplete = m_lease.isListed() && (!isWitnessMissing() || now - m_lastTermWriteAt < witnessWriteInterval);
-        if (isComplete || m_term->primary.isEmpty()) {
+        if (m_term->primary.isEmpty() || (m_lease.isListed() && now - m_witnessesCheckedAt < witnessCheckInterval)) {
+            return;
+        }
+        m_witnessesCheckedAt = now;
+        if (m_lease.isListed() && updatedWitnesses(*m_term) == m_term->witnesses) {
             return;
         }
         record = *m_term;
@@ -164,23 +167,64 @@
     if (std::find(record.homes.begin(), record.homes.end(), m_self) == record.homes.end()) {
         record.homes.push_back(m_self);
     }
-    for (const MemberId &replica : replicaIds()) {
-        if (std::find(record.witnesses.begin(), record.witnesses.end(), replica) == record.witnesses.end() && replica != record.primary) {
-            record.witnesses.push_back(replica);
+    const std::vector<MemberId> witnesses = updatedWitnesses(record);
+    for (const MemberId &witness : record.witnesses) {
+        if (std::find(witnesses.begin(), witnesses.end(), witness) == witnesses.end()) {
+            m_droppedWitnesses[witness] = m_termRevision; // at once, since the write may take effect without an answer
         }
     }
+    record.witnesses = witnesses;
+    if (m_term) {
+        setLeaseWitnesses();
+    }
     m_isWritingTerm = true;
     m_lastTermWriteAt = now;
     m_effects.writeTerm(record, m_termRevision);
 }
 
-/// Whether a replica is registered that the term record does not name as a witness.
-bool GroupHome::isWitnessMissing() const
+/// The registered replicas that this home reaches, whose word can be evidence. A member that is down would make a later change of primary
+/// wait, since it cannot be fenced.
+std::vector<MemberId> GroupHome::reachableReplicas() const
+{
+    std::vector<MemberId> replicas;
+    for (const auto &[id, member] : m_members) {
+        const bool isReplica = id != m_primary && member.isRegistered && !member.record.isLeaving;
+        if (isReplica && member.health == Health::Up && member.status && !member.status->isPrimary) {
+            replicas.push_back(id);
+        }
+    }
+    return replicas;
+}
+
+/// The witnesses that the record should name: those that it names, and the replicas that are reachable now. If no other home is listed, so
+/// that none relies on them, those that have left the group are left out.
+std::vector<MemberId> GroupHome::updatedWitnesses(const TermRecord &record) const
+{
+    const bool isOnlyHolder = std::all_of(record.homes.begin(), record.homes.end(), [&](const std::string &home) {
+        return instanceNameOf(home) == instanceNameOf(m_self);
+    });
+    std::vector<MemberId> witnesses = record.witnesses;
+    std::erase_if(witnesses, [&](const MemberId &witness) {
+        return isOnlyHolder && !m_members.contains(witness);
+    });
+    for (const MemberId &replica : reachableReplicas()) {
+        if (std::find(witnesses.begin(), witnesses.end(), replica) == witnesses.end()) {
+            witnesses.push_back(replica);
+        }
+    }
+    return witnesses;
+}
+
+void GroupHome::setLeaseWitnesses()
 {
-    const std::set<MemberId> replicas = replicaIds();
-    return std::any_of(replicas.begin(), replicas.end(), [&](const MemberId &replica) {
-        return std::find(m_term->witnesses.begin(), m_term->witnesses.end(), replica) == m_term->witnesses.end();
+    std::vector<MemberId> witnesses = m_term->witnesses;
+    std::erase_if(m_droppedWitnesses, [&](const auto &dropped) {
+        return m_termRevision > dropped.second;
     });
+    std::erase_if(witnesses, [&](const MemberId &witness) {
+        return m_droppedWitnesses.contains(witness);
+    });
+    m_lease.setWitnesses(witnesses);
 }
 
 void GroupHome::termSeen(const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt, TimePoint now)
@@ -201,8 +245,9 @@
     }
     const bool isNewer = !m_term || record->generation > m_term->generation;
     const bool isPrimaryNamed = m_term && record->generation == m_term->generation && record->primary != m_term->primary;
-    const bool isOwnChange = m_change.stage == ChangeStage::WritingTerm && record->primary.isEmpty() && !record->homes.empty()
-                             && record->homes.front() == m_self;
+    // An earlier unfinished change of this home may still be read while its next generation is being written.
+    const bool isOwnChange = m_change.stage == ChangeStage::WritingTerm && record->generation == m_change.generation
+                             && record->primary.isEmpty() && !record->homes.empty() && record->homes.front() == m_self;
     if (isNewer || (isPrimaryNamed && m_change.stage == ChangeStage::None)) {
         adoptTerm(*record, now);
         m_lease.restart(record->generation, isListed, replicaIds());
@@ -211,7 +256,7 @@
     } else {
         m_term = record;
     }
-    m_lease.setWitnesses(m_term->witnesses);
+    setLeaseWitnesses();
     m_lease.termRecordRead(record->generation, isListed, startedAt);
     // A write of this home that was given up on took effect after all: continues its change of primary.
     const bool isOwnLateWrite = m_change.stage == ChangeStage::None && isNewer && record->primary.isEmpty() && !record->homes.empty()
@@ -219,6 +264,7 @@
     if (isOwnLateWrite) {
         m_change = {};
         m_change.startedAt = now;
+        m_change.generation = record->generation;
         m_change.witnesses = record->witnesses;
         m_change.leaseHolders.insert(std::next(record->homes.begin()), record->homes.end());
     }
@@ -245,6 +291,9 @@
                        {"primary", record.primary.text()},
                        {"previous", m_primary.text()},
                        {"homes", std::to_string(record.homes.size())}}});
+    if (!m_term || m_term->generation != record.generation) {
+        m_droppedWitnesses.clear();
+    }
     m_term = record;
     m_primary = record.primary;
     if (!m_primary.isEmpty()) {
--- a/decisions/test/session/grouphomefailover_test.cpp
+++ b/decisions/test/session/grouphomefailover_test.cpp
@@ -109,6 +109,40 @@
     CHECK(runWithStoreUntil(group, 200ms, isOrdered));
 }
 
+TEST_CASE("A member that is down when its group gets a new primary is no witness, since it could not be fenced later",
+          "[grouphomefailover]")
+{
+    FakeGroup group;
+    group.makeHealthy();
+    crashMember(group, "m1");
+    group.home.peersAnswered(MemberId("m1"), 0, 2, group.now);
+    group.completeTermWrite();
+    REQUIRE(runUntil(group, [&] {
+        return !group.promotionOrders.empty();
+    }));
+    const MemberId chosen = group.promotionOrders.front().first;
+    const MemberId other(chosen == MemberId("m2") ? "m3" : "m2");
+    group.home.promotionAnswered(chosen, PromotionResult::Accepted, group.now);
+    group.statuses[chosen].isPrimary = true;
+    group.statuses[chosen].term = 2;
+    group.statuses[chosen].fenceTerm = 0;
+    REQUIRE(runUntil(group, [&] {
+        return group.home.primary() == chosen;
+    }));
+    CHECK(group.termWrites.back().first.witnesses == std::vector{other});
+    group.completeTermWrite();
+    // It is one again once it is back, as a replica.
+    group.downMembers.clear();
+    group.statuses[MemberId("m1")].isPrimary = false;
+    REQUIRE(runUntil(group, [&] {
+        return group.home.isReachable(MemberId("m1"));
+    }));
+    group.advanceTime(2s);
+    group.answerAll();
+    group.home.request(group.writeRequest("w1"), group.now);
+    CHECK(group.termWrites.back().first.witnesses.size() == 2);
+}
+
 TEST_CASE("A home that takes over an unfinished change waits for the lease holders of the old primary", "[grouphomefailover]")
 {
     FakeGroup group;
@@ -125,6 +159,32 @@
     CHECK(group.yieldRequests == std::vector<std::string>{"b1/1", "c1/1"});
 }
 
+// Reads of the earlier record may be under way while the next one is written. Taking one for the answer to the write made the home abandon
+// its change when the write's own answer came, again and again.
+TEST_CASE("A read of a home's earlier unfinished change is not taken for its next one", "[grouphomefailover]")
+{
+    FakeGroup group;
+    group.makeHealthy();
+    TermRecord record = *group.storedTerm;
+    record.generation = 2;
+    record.primary = MemberId();
+    record.homes = {"a1/1"};
+    group.home.termSeen(record, ++group.termRevision, distantPast, group.now);
+    group.home.termWriteFailed(TermWriteFailure::StoreUnavailable, group.now);
+    group.advanceTime(5s);
+    const std::size_t writes = group.termWrites.size();
+    group.advanceTime(5s);
+    REQUIRE(group.termWrites.size() > writes);
+    REQUIRE(group.termWrites.back().first.generation == 3);
+    group.home.termSeen(record, group.termRevision, group.now, group.now);
+    group.events.clear();
+    group.completeTermWrite();
+    CHECK(std::count(group.events.begin(), group.events.end(), "primary-change-abandoned") == 0);
+    CHECK(runWithStoreUntil(group, 5s, [&] {
+        return !group.promotionOrders.empty() || !group.home.primary().isEmpty();
+    }));
+}
+
 TEST_CASE("A home recognizes the primary whose promotion it ordered, and sends writes to it", "[grouphomefailover]")
 {
     FakeGroup group;
