--- a/sessions/src/internal/peerlinks.cpp
+++ b/sessions/src/internal/peerlinks.cpp
@@ -18,10 +18,11 @@
 {
 
 constexpr decisions::Duration minPingInterval = 500ms;
-constexpr decisions::Duration maxPingInterval = 2s;
+constexpr decisions::Duration maxPingInterval = 4s;
 // A peer that owes an answer and sends no frame for this long is pinged early; with few links, so is each peer in use.
 constexpr decisions::Duration answerMaxSilence = 250ms;
-constexpr std::size_t maxPingsPerSecond = 16; // to all peers together; beyond it, links are pinged less often
+constexpr std::size_t fewLinks = 8; // up to this number, all links in use are pinged every minPingInterval
+constexpr std::size_t maxPingsPerSecond = 4; // beyond it, to all peers together that are not persistent
 constexpr decisions::Duration pingTimeout = 500ms;
 constexpr decisions::Duration activeLinkPeriod = 2s; // after its last use; later, only persistent links are pinged
 constexpr decisions::Duration reconnectPeriod = 30s; // after its last use, a lost peer is retried for this long
@@ -225,8 +226,11 @@
 decisions::Duration PeerLinks::pingInterval(TimePoint now) const
 {
     const auto pingedLinks = std::count_if(m_links.begin(), m_links.end(), [&](const auto &entry) {
-        return entry.second.isPersistent || now - entry.second.lastUsed < activeLinkPeriod;
+        return now - entry.second.lastUsed < activeLinkPeriod;
     });
+    if (static_cast<std::size_t>(pingedLinks) <= fewLinks) {
+        return minPingInterval;
+    }
     const decisions::Duration interval = 1s * pingedLinks / static_cast<std::ptrdiff_t>(maxPingsPerSecond);
     return std::clamp<decisions::Duration>(interval, minPingInterval, maxPingInterval);
 }
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(
     g++ cmake ninja-build pkg-config clang-format clang-tidy python3-yaml
-    libcaf-dev libgrpc++-dev libprotobuf-dev libboost-dev libpopt-dev libspdlog-dev libopentracing-dev libssl-dev
+    libcaf-dev libgrpc++-dev libabsl-dev libprotobuf-dev libboost-dev libpopt-dev libspdlog-dev libopentracing-dev libssl-dev
     libsqlite3-dev nlohmann-json3-dev catch2 librapidcheck-dev libbenchmark-dev
 )
 missing=()
