Idle instances tick every 30 ms, and a rollback at a silent primary is not awaited for ever

About half of what an instance of a large fleet costs is idle work, most of it wake-ups. An instance that is no first home and has no work now ticks every 30 ms; the first request of a quiet home ticks it at once, so that connections are opened sooner than before. Found by reading: a rollback sent on a connection that had gone silent was never missed; a command on it counts as owed again (test). Words: observation for sighting in proxy and protocol, plainer comments in link.proto.

--- a/decisions/include/rattanbeam/decisions/session/lagmeter.h
+++ b/decisions/include/rattanbeam/decisions/session/lagmeter.h
@@ -13,6 +13,11 @@
 public:
     explicit LagMeter(Duration interval);
 
+    /// The next tick is due this long after the last one.
+    void setInterval(Duration interval)
+    {
+        m_interval = interval;
+    }
     /// Returns how long the process was paused, or zero if it was not. Pauses do not count towards the average lag.
     Duration recordTick(TimePoint now);
     /// Whether the average lag is too high. Ends only after the lag has stayed low for a while, so that the state does not flap.
--- a/decisions/src/session/grouphomeconnections.cpp
+++ b/decisions/src/session/grouphomeconnections.cpp
@@ -245,6 +245,7 @@
         return;
     }
     connection.isAwaitingAnswer = true;
+    connection.isSilent = false;
     const MemberCommand &command = connection.commands.front();
     connection.sentAt = now;
     if (connection.work && connection.commands.size() == 1 && m_work.contains(*connection.work)) {
--- a/decisions/test/session/grouphome_test.cpp
+++ b/decisions/test/session/grouphome_test.cpp
@@ -94,6 +94,39 @@
     CHECK(group.timesSent("w1") == 1);
 }
 
+// Its rollback, too, would never be answered if the connection was lost without a word.
+TEST_CASE("A transaction that ends at a silent primary does not keep its connection", "[grouphome]")
+{
+    FakeGroup group;
+    group.makeHealthy();
+    HomeRequest request = group.writeRequest("w1");
+    request.transaction = {"e1", 1, 1};
+    request.forwarded.transaction = 1;
+    request.forwarded.opensTransaction = true;
+    group.home.request(request, group.now);
+    group.answerAll();
+    REQUIRE(group.home.openTransactions() == 1);
+    const HomeRequest other = group.writeRequest("w2"); // makes the member owe an answer
+    group.home.request(other, group.now);
+    group.advanceTime(600ms);
+    group.finishConnecting();
+    REQUIRE(group.home.openTransactions() == 1);
+    const ConnectionNumber connection = [&] {
+        for (const FakeGroup::SentCommand &each : group.sentCommands) {
+            if (each.command.statement.id == "w1") {
+                return each.connection;
+            }
+        }
+        return ConnectionNumber();
+    }();
+    group.home.endTransaction(request.transaction, group.now);
+    for (int i = 0; i < 12; ++i) {
+        group.advanceTime(100ms);
+        group.finishConnecting();
+    }
+    CHECK(std::count(group.closedConnections.begin(), group.closedConnections.end(), connection) == 1);
+}
+
 TEST_CASE("A write at a primary that stays silent is in doubt at its deadline", "[grouphome]")
 {
     FakeGroup group;
--- a/protocol/include/rattanbeam/protocol/conversions.h
+++ b/protocol/include/rattanbeam/protocol/conversions.h
@@ -32,11 +32,11 @@
 backend::v1::MemberStatus fromMemberStatus(const decisions::MemberStatus &status);
 
 /// Ages on the wire become times on the receiver's clock, on the late side by the time of the transfer.
-decisions::MemberObservation toSighting(const peer::v1::MemberReport &report, decisions::TimePoint sentAfter);
-peer::v1::MemberReport fromSighting(const std::string &database,
-                                    const decisions::MemberId &member,
-                                    const decisions::MemberObservation &sighting,
-                                    decisions::TimePoint now);
+decisions::MemberObservation toMemberObservation(const peer::v1::MemberReport &report, decisions::TimePoint sentAfter);
+peer::v1::MemberReport fromMemberObservation(const std::string &database,
+                                             const decisions::MemberId &member,
+                                             const decisions::MemberObservation &observation,
+                                             decisions::TimePoint now);
 
 decisions::ConfigObject toConfigObject(const platform::v1::Object &object);
 platform::v1::Object fromConfigObject(const decisions::ConfigObject &object);
--- a/protocol/src/conversions.cpp
+++ b/protocol/src/conversions.cpp
@@ -130,28 +130,30 @@
 
 } // namespace
 
-decisions::MemberObservation toSighting(const peer::v1::MemberReport &report, TimePoint sentAfter)
+decisions::MemberObservation toMemberObservation(const peer::v1::MemberReport &report, TimePoint sentAfter)
 {
-    decisions::MemberObservation sighting;
-    sighting.status = toMemberStatus(report.status());
-    sighting.observedAt = sentAfter - std::chrono::milliseconds(report.age_ms());
-    sighting.completeAsOf = sentAfter - std::chrono::milliseconds(report.data_age_ms());
-    sighting.queued = report.queued();
-    sighting.latency = std::chrono::microseconds(report.latency_us());
-    return sighting;
+    decisions::MemberObservation observation;
+    observation.status = toMemberStatus(report.status());
+    observation.observedAt = sentAfter - std::chrono::milliseconds(report.age_ms());
+    observation.completeAsOf = sentAfter - std::chrono::milliseconds(report.data_age_ms());
+    observation.queued = report.queued();
+    observation.latency = std::chrono::microseconds(report.latency_us());
+    return observation;
 }
 
-peer::v1::MemberReport
-fromSighting(const std::string &database, const decisions::MemberId &member, const decisions::MemberObservation &sighting, TimePoint now)
+peer::v1::MemberReport fromMemberObservation(const std::string &database,
+                                             const decisions::MemberId &member,
+                                             const decisions::MemberObservation &observation,
+                                             TimePoint now)
 {
     peer::v1::MemberReport report;
     report.set_database(database);
-    *report.mutable_status() = fromMemberStatus(sighting.status);
+    *report.mutable_status() = fromMemberStatus(observation.status);
     report.mutable_status()->set_member(member.text());
-    report.set_age_ms(ageMs(sighting.observedAt, now));
-    report.set_data_age_ms(ageMs(sighting.completeAsOf, now));
-    report.set_queued(sighting.queued);
-    report.set_latency_us(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::microseconds>(sighting.latency).count()));
+    report.set_age_ms(ageMs(observation.observedAt, now));
+    report.set_data_age_ms(ageMs(observation.completeAsOf, now));
+    report.set_queued(observation.queued);
+    report.set_latency_us(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::microseconds>(observation.latency).count()));
     return report;
 }
 
--- a/protocol/test/conversions_test.cpp
+++ b/protocol/test/conversions_test.cpp
@@ -32,15 +32,16 @@
 TEST_CASE("An age never shrinks on its way, and never is never", "[conversions]")
 {
     rc::prop("for any ages", [](std::uint16_t ageMs, std::uint16_t transferMs) {
-        decisions::MemberObservation sighting;
-        sighting.completeAsOf = now - std::chrono::milliseconds(ageMs);
-        sighting.observedAt = now;
-        const auto report = fromSighting("orders", decisions::MemberId("m"), sighting, now);
+        decisions::MemberObservation observation;
+        observation.completeAsOf = now - std::chrono::milliseconds(ageMs);
+        observation.observedAt = now;
+        const auto report = fromMemberObservation("orders", decisions::MemberId("m"), observation, now);
         // The receiver counts from when it asked, which is no later than when the report was made.
-        const auto received = toSighting(report, now - std::chrono::milliseconds(transferMs));
-        RC_ASSERT(received.completeAsOf <= sighting.completeAsOf);
+        const auto received = toMemberObservation(report, now - std::chrono::milliseconds(transferMs));
+        RC_ASSERT(received.completeAsOf <= observation.completeAsOf);
     });
-    const auto never = toSighting(fromSighting("orders", decisions::MemberId("m"), decisions::MemberObservation(), now), now);
+    const auto never
+        = toMemberObservation(fromMemberObservation("orders", decisions::MemberId("m"), decisions::MemberObservation(), now), now);
     CHECK(now - never.completeAsOf > 24h);
 }
 
--- a/proxy/include/rattanbeam/proxy/internal/messages.h
+++ b/proxy/include/rattanbeam/proxy/internal/messages.h
@@ -89,7 +89,7 @@
 struct MemberObserved {
     decisions::MemberId member;
     decisions::MemberId seen;
-    decisions::MemberObservation sighting;
+    decisions::MemberObservation observation;
     std::shared_ptr<const decisions::GroupView> group;
 };
 /// To home: hold work back while the member hands its role over, or go on.
--- a/proxy/include/rattanbeam/proxy/internal/observerservice.h
+++ b/proxy/include/rattanbeam/proxy/internal/observerservice.h
@@ -48,7 +48,7 @@
     void performOne(const decisions::GroupObserver &observer, const decisions::FenceMember &fence);
     void performOne(const decisions::GroupObserver &observer, const decisions::PromoteMember &promote);
     void tellHome(const decisions::GroupObserver &observer, const decisions::MemberId &seen);
-    void tellState(bool isUrgent);
+    void reportState(bool isUrgent);
     std::string addressOf(const decisions::GroupObserver &observer, const decisions::MemberId &member) const;
 
     ServiceContextPtr m_context;
--- a/proxy/src/internal/entryservice.cpp
+++ b/proxy/src/internal/entryservice.cpp
@@ -241,12 +241,12 @@
     decisions::GroupView &view = m_views[request.database];
     for (const auto &report : message.reply->group()) {
         const decisions::MemberId member(report.status().member());
-        decisions::MemberObservation sighting = protocol::toSighting(report, message.sentAt);
+        decisions::MemberObservation observation = protocol::toMemberObservation(report, message.sentAt);
         const auto median = m_latencies.find(member);
         if (median != m_latencies.end()) {
-            sighting.latency = median->second.value();
+            observation.latency = median->second.value();
         }
-        view.update(member, sighting);
+        view.update(member, observation);
     }
     if (protocol::toOutcome(message.reply->status(), currentTime()).isSuccess()) {
         m_latencies[request.route->member].record(currentTime() - message.sentAt);
--- a/proxy/src/internal/homeactions.cpp
+++ b/proxy/src/internal/homeactions.cpp
@@ -128,8 +128,8 @@
     const auto &status = home.decisions->status();
     message.set_from_replica(status && !status->isPrimary);
     if (home.group) {
-        for (const auto &[member, sighting] : home.group->observations()) {
-            *message.add_group() = protocol::fromSighting(home.database.text(), member, sighting, at);
+        for (const auto &[member, observation] : home.group->observations()) {
+            *message.add_group() = protocol::fromMemberObservation(home.database.text(), member, observation, at);
         }
     }
     const auto rank = decisions::rankName(protocol::toRank(work.request->rank()).value_or(decisions::Rank::Batch));
--- a/proxy/src/internal/homeservice.cpp
+++ b/proxy/src/internal/homeservice.cpp
@@ -86,11 +86,11 @@
                 return;
             }
             home->second.group = message.group;
-            const auto &sighting = message.sighting;
+            const auto &observation = message.observation;
             perform(home->second,
                     message.member == message.seen
-                        ? home->second.decisions->memberStatusReceived(sighting.status, sighting.completeAsOf, currentTime())
-                        : home->second.decisions->otherStatusReceived(message.seen, sighting.status, currentTime()));
+                        ? home->second.decisions->memberStatusReceived(observation.status, observation.completeAsOf, currentTime())
+                        : home->second.decisions->otherStatusReceived(message.seen, observation.status, currentTime()));
         },
         [this](const HandoverChanged &message) {
             const auto home = m_homes.find(message.member);
--- a/proxy/src/internal/observerservice.cpp
+++ b/proxy/src/internal/observerservice.cpp
@@ -138,7 +138,7 @@
     for (auto &[database, observer] : m_observers) {
         perform(database, observer.tick(currentTime()));
     }
-    tellState(false);
+    reportState(false);
 }
 
 std::set<MemberId> ObserverService::ownMembersOf(const decisions::DatabaseGroup &group) const
@@ -178,7 +178,7 @@
         const auto found = m_observers.find(DatabaseName(report.database()));
         if (found != m_observers.end()) {
             const MemberId member(report.status().member());
-            found->second.peerObservationReceived(member, protocol::toSighting(report, reports.receivedAt));
+            found->second.peerObservationReceived(member, protocol::toMemberObservation(report, reports.receivedAt));
         }
     }
     for (const auto &suspicion : reports.message->suspicions()) {
@@ -258,7 +258,7 @@
         .with("database", observer.stored().group.database)
         .with("member", observer.stored().group.primary)
         .with("term", observer.suspicion().term());
-    tellState(true);
+    reportState(true);
 }
 
 void ObserverService::performOne(const GroupObserver & /*observer*/, const decisions::PauseMember &hold)
@@ -335,23 +335,23 @@
 
 void ObserverService::tellHome(const GroupObserver &observer, const MemberId &seen)
 {
-    const auto *sighting = observer.view().find(seen);
-    if (sighting == nullptr) {
+    const auto *observation = observer.view().find(seen);
+    if (observation == nullptr) {
         return;
     }
     const auto group = std::make_shared<const decisions::GroupView>(observer.view());
     for (const MemberId &own : observer.ownMembers()) {
-        send(m_context->registry.find(homeServiceName), MemberObserved{own, seen, *sighting, group});
+        send(m_context->registry.find(homeServiceName), MemberObserved{own, seen, *observation, group});
     }
 }
 
-void ObserverService::tellState(bool isUrgent)
+void ObserverService::reportState(bool isUrgent)
 {
     OwnReports reports{{}, {}, isUrgent};
     for (const auto &[database, observer] : m_observers) {
         for (const MemberId &member : observer.ownMembers()) {
-            if (const auto *sighting = observer.view().find(member)) {
-                reports.members.push_back(protocol::fromSighting(database.text(), member, *sighting, currentTime()));
+            if (const auto *observation = observer.view().find(member)) {
+                reports.members.push_back(protocol::fromMemberObservation(database.text(), member, *observation, currentTime()));
             }
         }
         peer::v1::Suspicion suspicion;
--- a/sessions/include/rattanbeam/sessions/internal/homeservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/homeservice.h
@@ -66,6 +66,8 @@
     void setRedirecting(bool isRedirecting);
     /// Whether no home has requests or open transactions.
     bool isQuiet() const;
+    /// Whether this instance is no service's first home, and isQuiet().
+    bool isIdle() const;
     /// Number of connections to members, those being opened included.
     std::size_t connections() const;
     std::size_t openTransactions() const;
--- a/sessions/src/eventloop.cpp
+++ b/sessions/src/eventloop.cpp
@@ -55,7 +55,15 @@
 
 void EventLoop::every(decisions::Duration interval, std::function<void()> function)
 {
-    after(interval, [this, interval, function = std::move(function)] {
+    const auto constantInterval = [interval] {
+        return interval;
+    };
+    every(constantInterval, function);
+}
+
+void EventLoop::every(const std::function<decisions::Duration()> &interval, const std::function<void()> &function)
+{
+    after(interval(), [this, interval, function] {
         callGuarded(function);
         every(interval, function);
     });
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -281,7 +281,12 @@
         renumbered.set_request(entryRequest);
         callback(renumbered);
     };
-    ensureServiceHome(ServiceName(message.service()))->home().request(homeRequest(entry, message, number, now), now);
+    GroupHome &home = ensureServiceHome(ServiceName(message.service()))->home();
+    const bool wasQuiet = home.isQuiet();
+    home.request(homeRequest(entry, message, number, now), now);
+    if (wasQuiet) {
+        home.tick(now); // opens connections at once instead of at the next tick, which may be far away while this instance was idle
+    }
 }
 
 void HomeService::endTransaction(const std::string &entry, const link::v1::TransactionEnd &end)
@@ -363,6 +368,14 @@
     });
 }
 
+bool HomeService::isIdle() const
+{
+    const bool hasFirstHome = std::any_of(m_serviceHomes.begin(), m_serviceHomes.end(), [this](const auto &item) {
+        return isFirstHome(item.first);
+    });
+    return !hasFirstHome && isQuiet();
+}
+
 std::size_t HomeService::connections() const
 {
     std::size_t total = 0;
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -26,6 +26,7 @@
 {
 
 constexpr decisions::Duration tickInterval = 10ms;
+constexpr decisions::Duration idleTickInterval = 30ms; // while no home runs here: the wake-ups are most of what an idle instance costs
 constexpr decisions::Duration drainPollInterval = 50ms;
 constexpr decisions::Duration rotationExitDelay = 2200ms; // until the load balancer has taken the instance out of rotation
 constexpr decisions::Duration drainEndMargin = 900ms; // a drain is cut off this long before the grace period ends
@@ -189,7 +190,12 @@
 
 void SessionInstance::Implementation::scheduleTick()
 {
-    loop.every(tickInterval, [this] {
+    const auto nextInterval = [this] {
+        const decisions::Duration interval = homes.isIdle() ? idleTickInterval : tickInterval;
+        lagMeter.setInterval(interval);
+        return interval;
+    };
+    loop.every(nextInterval, [this] {
         measureLag();
         peerLinks.tick();
         directory.tick();
--- a/sessions/test/sessioninstance_test.cpp
+++ b/sessions/test/sessioninstance_test.cpp
@@ -103,6 +103,13 @@
         return statement;
     };
     FrontHandler &front = fixture.instance->front();
+    const auto [first, firstClient] = fixture.openSession();
+    REQUIRE(fixture.runUntil([&, session = first, &answers = firstClient->answers] {
+        if (answers.empty() || !answers.back().isSuccess()) {
+            front.statementArrived(session, InstanceFixture::makeWriteStatement("w" + std::to_string(answers.size())));
+        }
+        return !answers.empty() && answers.back().isSuccess();
+    }));
     // Two transactions, so that their sessions stay open while the instance drains.
     const auto [writer, writingClient] = fixture.openSession();
     const auto [committer, committingClient] = fixture.openSession();
