--- a/sessions/include/rattanbeam/sessions/eventloop.h
+++ b/sessions/include/rattanbeam/sessions/eventloop.h
@@ -35,7 +35,7 @@
     /// Calls `function` once, after `delay`.
     void after(decisions::Duration delay, std::function<void()> function);
     /// Calls `function` repeatedly, each time `interval` after the previous call has returned or thrown.
-    void every(decisions::Duration interval, std::function<void()> function);
+    void every(decisions::Duration interval, const std::function<void()> &function);
     /// As above, with an interval that is asked for after each call.
     void every(const std::function<decisions::Duration()> &interval, const std::function<void()> &function);
     boost::asio::io_context &context()
--- a/sessions/src/eventloop.cpp
+++ b/sessions/src/eventloop.cpp
@@ -53,7 +53,7 @@
     });
 }
 
-void EventLoop::every(decisions::Duration interval, std::function<void()> function)
+void EventLoop::every(decisions::Duration interval, const std::function<void()> &function)
 {
     const auto constantInterval = [interval] {
         return interval;
