--- a/review/standin/store.cpp
+++ b/review/standin/store.cpp
@@ -42,6 +42,7 @@
 {
     Door &door = *m_doors.at(number);
     if (door.mode == StoreMode::Silent) {
+        door.lostAnswers.push_back(answer);
         return;
     }
     if (door.mode == StoreMode::Busy || door.mode == StoreMode::Resets) {
@@ -56,6 +57,7 @@
     }
     if (question.method != "GET" && m_writeFate && m_writeFate(number, question) == Fate::Late) {
         door.lateWrites.push_back(question);
+        door.lostAnswers.push_back(answer);
         return;
     }
     const HttpAnswer found = serve(question);
--- a/review/standin/store.h
+++ b/review/standin/store.h
@@ -73,6 +73,8 @@
         std::unique_ptr<HttpServer> server;
         StoreMode mode = StoreMode::Serves;
         std::deque<HttpQuestion> lateWrites;
+        /// Answers that are never given; their connections stay open and return nothing further.
+        std::vector<HttpServer::Answer> lostAnswers;
     };
     using Key = std::pair<std::string, std::string>;
 
