--- a/review/standin/fleet.cpp
+++ b/review/standin/fleet.cpp
@@ -140,8 +140,7 @@
         boost::system::error_code ignored;
         pair->member.set_option(tcp::no_delay(true), ignored);
         pair->client.set_option(tcp::no_delay(true), ignored);
-        boost::asio::async_write(
-            pair->member, boost::asio::buffer(pair->setup), [pair](const boost::system::error_code &, std::size_t) {});
+        boost::asio::async_write(pair->member, boost::asio::buffer(pair->setup), [pair](const boost::system::error_code &, std::size_t) {});
         pump(pair, true);
         pump(pair, false);
     });
@@ -520,20 +519,19 @@
     m_isSetUp = false;
     m_buffer.clear();
     m_socket = tcp::socket(m_deployment.context());
-    m_socket.async_connect(endpointOf(m_front),
-                           [self = shared_from_this(), number = m_connection](const boost::system::error_code &error) {
-                               if (number != self->m_connection) {
-                                   return;
-                               }
-                               if (error) {
-                                   self->later(20ms, &Client::connect);
-                                   return;
-                               }
-                               boost::system::error_code ignored;
-                               self->m_socket.set_option(tcp::no_delay(true), ignored);
-                               self->send("SETUP " + self->m_deployment.options().database + ' ' + self->m_name);
-                               self->read();
-                           });
+    m_socket.async_connect(endpointOf(m_front), [self = shared_from_this(), number = m_connection](const boost::system::error_code &error) {
+        if (number != self->m_connection) {
+            return;
+        }
+        if (error) {
+            self->later(20ms, &Client::connect);
+            return;
+        }
+        boost::system::error_code ignored;
+        self->m_socket.set_option(tcp::no_delay(true), ignored);
+        self->send("SETUP " + self->m_deployment.options().database + ' ' + self->m_name);
+        self->read();
+    });
 }
 
 void Client::send(const std::string &line)
