--- a/review/standin/fleet.cpp
+++ b/review/standin/fleet.cpp
@@ -132,7 +132,7 @@
 
 void CuttingProxy::connectMember(const std::shared_ptr<Pair> &pair)
 {
-    pair->member.async_connect(endpointOf(m_memberAddress), [pair](const boost::system::error_code &error) {
+    pair->member.async_connect(endpointOf(m_memberAddress), [this, pair](const boost::system::error_code &error) {
         if (error) {
             reset(*pair);
             return;
@@ -150,22 +150,35 @@
 {
     tcp::socket &from = isFromClient ? pair->client : pair->member;
     auto &buffer = isFromClient ? pair->fromClient : pair->fromMember;
-    from.async_read_some(boost::asio::buffer(buffer), [pair, isFromClient](const boost::system::error_code &error, std::size_t bytes) {
-        if (error) {
-            reset(*pair);
-            return;
-        }
-        tcp::socket &to = isFromClient ? pair->member : pair->client;
-        auto &received = isFromClient ? pair->fromClient : pair->fromMember;
-        boost::asio::async_write(
-            to, boost::asio::buffer(received.data(), bytes), [pair, isFromClient](const boost::system::error_code &failure, std::size_t) {
-                if (failure) {
-                    reset(*pair);
-                } else {
-                    pump(pair, isFromClient);
-                }
-            });
-    });
+    from.async_read_some(boost::asio::buffer(buffer),
+                         [this, pair, isFromClient](const boost::system::error_code &error, std::size_t bytes) {
+                             if (error) {
+                                 reset(*pair);
+                                 return;
+                             }
+                             if (isFromClient || m_delay == 0ms) {
+                                 pass(pair, isFromClient, bytes);
+                                 return;
+                             }
+                             const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, m_delay);
+                             timer->async_wait([this, timer, pair, bytes](const boost::system::error_code &) {
+                                 pass(pair, false, bytes);
+                             });
+                         });
+}
+
+void CuttingProxy::pass(const std::shared_ptr<Pair> &pair, bool isFromClient, std::size_t bytes)
+{
+    tcp::socket &to = isFromClient ? pair->member : pair->client;
+    auto &received = isFromClient ? pair->fromClient : pair->fromMember;
+    boost::asio::async_write(
+        to, boost::asio::buffer(received.data(), bytes), [this, pair, isFromClient](const boost::system::error_code &failure, std::size_t) {
+            if (failure) {
+                reset(*pair);
+            } else {
+                pump(pair, isFromClient);
+            }
+        });
 }
 
 void CuttingProxy::reset(Pair &pair)
@@ -240,7 +253,7 @@
                     {"priority", 0},
                     {"timeoutMs", 800},
                     {"objectiveMs", 100}}}},
-                 {"services", {{{"name", m_options.service}, {"maxConns", 16}, {"syncReplicas", 0}}}},
+                 {"services", {{{"name", m_options.service}, {"maxConns", 16}, {"syncReplicas", m_options.syncReplicas}}}},
                  {"limits", {{"txIdleMs", 3000}}}});
     registerMembers();
     const int block = 16 + static_cast<int>(getpid() % 200);
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -64,19 +64,26 @@
     }
     void cut(const std::string &instance);
     void heal(const std::string &instance);
+    /// Delays all that the member says, as when it has turned slow.
+    void setDelay(std::chrono::milliseconds delay)
+    {
+        m_delay = delay;
+    }
 
 private:
     struct Pair;
     void accept();
     void readSetup(const std::shared_ptr<Pair> &pair);
     void connectMember(const std::shared_ptr<Pair> &pair);
-    static void pump(const std::shared_ptr<Pair> &pair, bool isFromClient);
+    void pump(const std::shared_ptr<Pair> &pair, bool isFromClient);
+    void pass(const std::shared_ptr<Pair> &pair, bool isFromClient, std::size_t bytes);
     static void reset(Pair &pair);
 
     boost::asio::io_context &m_context;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::string m_address;
     std::string m_memberAddress;
+    std::chrono::milliseconds m_delay{0};
     std::set<std::string> m_cut;
     std::vector<std::weak_ptr<Pair>> m_pairs;
 };
@@ -105,6 +112,7 @@
     std::vector<std::pair<std::string, std::string>> instances; ///< Name and zone.
     std::string service = "pedidos-db";
     std::string database = "pedidos";
+    unsigned syncReplicas = 0;
     std::chrono::milliseconds promotionCall{200}; ///< Added to the 400 ms that the stand-in group takes to promote.
 };
 
