A lease of a process that the directory does not know yet is waited for

Cause: HomeService::askToYield() took a lease as yielded if the local directory had another incarnation of the holder's instance than the term record. The directory may be the older of the two: the record is read from the store, registrations reach an instance that is no relay through pongs, a second or so late. The order of incarnations proves nothing either, since the clock may be set back.

The holder's instance is now always asked, and FenceReply names the process that answers. That process was asked after the record had listed the holder, so one of the same instance is the holder, which has yielded, or was started after the holder had ended.

--- a/decisions/include/rattanbeam/decisions/session/fleetrecords.h
+++ b/decisions/include/rattanbeam/decisions/session/fleetrecords.h
@@ -105,6 +105,9 @@
     auto operator<=>(const TermRecord &) const = default;
 };
 
+/// The instance of a lease holder that is given as `name/incarnation`.
+std::string instanceNameOf(const std::string &home);
+
 using RecordValue = std::variant<std::monostate, FleetConfiguration, MemberRecord, InstanceRecord, TermRecord>;
 
 /// The collections of records that instances watch.
--- a/decisions/src/session/fleetrecords.cpp
+++ b/decisions/src/session/fleetrecords.cpp
@@ -22,4 +22,9 @@
     return found == services.end() ? defaultMaxConnections : found->maxConnections;
 }
 
+std::string instanceNameOf(const std::string &home)
+{
+    return home.substr(0, home.rfind('/'));
+}
+
 } // namespace rattanbeam::decisions::session
--- a/decisions/src/session/grouphomefailover.cpp
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -23,11 +23,6 @@
 // After this, a change of primary that is still unfinished, or fences that are still in place, lead to a new generation.
 constexpr Duration unfinishedChangeTimeout = 4500ms;
 
-std::string instanceNameOf(const std::string &home)
-{
-    return home.substr(0, home.rfind('/'));
-}
-
 } // namespace
 
 std::string_view GroupHome::changeStageName(ChangeStage stage)
--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -19,11 +19,6 @@
 constexpr Duration missingEvidenceGrace = 300ms; // added to the duration of the lease
 constexpr Duration evidenceRetryAfter = 5000ms; // without requests for this long, a home without evidence takes new ones
 
-std::string instanceNameOf(const std::string &home)
-{
-    return home.substr(0, home.rfind('/'));
-}
-
 } // namespace
 
 bool GroupHome::isPrimaryUsable() const
--- a/sessions/include/rattanbeam/sessions/internal/homeservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/homeservice.h
@@ -40,8 +40,8 @@
     /// Connects to a few members of other failure domains and reports how many could be reached and how many could not. Does
     /// not call back if there are none.
     void probeMembersInOtherDomains(const std::function<void(std::size_t reachable, std::size_t unreachable)> &callback);
-    /// Gives up this instance's lease on a service's primary, as another home asked.
-    void yieldLease(const link::v1::FenceRequest &request);
+    /// Gives up this instance's lease on a service's primary, as another home asked. Returns the reply, which names this process.
+    link::v1::FenceReply yieldLease(const link::v1::FenceRequest &request);
     /// Replies of peers to requests of this instance's homes.
     void probeAnswered(const link::v1::ProbeReply &reply);
     void yieldAnswered(const link::v1::FenceReply &reply);
--- a/sessions/src/internal/homeinquiries.cpp
+++ b/sessions/src/internal/homeinquiries.cpp
@@ -9,6 +9,8 @@
 namespace rattanbeam::sessions::internal
 {
 
+using kernel::LogEvent;
+using kernel::LogLevel;
 using namespace std::chrono_literals;
 
 namespace
@@ -137,22 +139,16 @@
     homeOf(inquiry.service).peersAnswered(inquiry.member, inquiry.reachable, inquiry.unreachable, EventLoop::now());
 }
 
+/// Asks the holder's instance even if the directory knows another process of it: the directory may be older than the term record that
+/// lists the holder, and a clock that was set back makes the incarnation of a later process lower.
 void HomeService::askToYield(const ServiceName &service, const std::string &home, std::uint64_t generation)
 {
-    const std::string instanceName = home.substr(0, home.rfind('/'));
     const auto &records = m_directory.instanceRecords();
-    const auto found = records.find(instanceName);
+    const auto found = records.find(decisions::session::instanceNameOf(home));
     if (found == records.end()) {
         return; // not registered; its lease expires by itself
     }
     const auto &instance = std::get<InstanceRecord>(found->second.value);
-    if (home != instanceName + '/' + std::to_string(instance.incarnation)) {
-        // That process has ended, and the instance's present one holds no lease of it.
-        m_loop.post([this, service, home, generation] {
-            homeOf(service).leaseYielded(home, generation, EventLoop::now());
-        });
-        return;
-    }
     const std::uint64_t number = ++m_lastInquiryNumber;
     m_yieldRequests[number] = {service, home, generation};
     link::v1::Frame frame;
@@ -162,6 +158,9 @@
     m_links.send(instance.address, frame);
 }
 
+/// The answering process was asked after the term record had listed the holder. If it belongs to the holder's instance, it is therefore the
+/// holder, which has yielded, or was started after the holder had ended. An address may have been given to another instance, whose answer
+/// shows nothing.
 void HomeService::yieldAnswered(const link::v1::FenceReply &reply)
 {
     const auto found = m_yieldRequests.find(reply.number());
@@ -170,7 +169,15 @@
     }
     const YieldRequest request = found->second;
     m_yieldRequests.erase(found);
-    homeOf(request.service).leaseYielded(request.home, request.generation, EventLoop::now());
+    const bool isHolderInstance = decisions::session::instanceNameOf(reply.instance()) == decisions::session::instanceNameOf(request.home);
+    LogEvent("yield-answered", isHolderInstance ? LogLevel::Info : LogLevel::Warning)
+        .with("service", request.service)
+        .with("holder", request.home)
+        .with("answered_by", reply.instance())
+        .with("generation", request.generation);
+    if (isHolderInstance) {
+        homeOf(request.service).leaseYielded(request.home, request.generation, EventLoop::now());
+    }
 }
 
 } // namespace rattanbeam::sessions::internal
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -304,13 +304,17 @@
     }
 }
 
-void HomeService::yieldLease(const link::v1::FenceRequest &request)
+link::v1::FenceReply HomeService::yieldLease(const link::v1::FenceRequest &request)
 {
     const auto found = m_serviceHomes.find(ServiceName(request.service()));
     if (found != m_serviceHomes.end()) {
         found->second->home().yieldLease(request.generation(), EventLoop::now());
     }
     LogEvent("lease-yielded").with("service", request.service()).with("generation", request.generation());
+    link::v1::FenceReply reply;
+    reply.set_number(request.number());
+    reply.set_instance(m_self);
+    return reply;
 }
 
 void HomeService::fleetChanged()
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -380,8 +380,7 @@
         });
         break;
     case link::v1::Frame::kFence:
-        homes.yieldLease(frame.fence());
-        answer.mutable_fence_reply()->set_number(frame.fence().number());
+        *answer.mutable_fence_reply() = homes.yieldLease(frame.fence());
         stream->write(answer);
         break;
     case link::v1::Frame::kSnapshotRequest:
--- a/sessions/test/fakeplatform.h
+++ b/sessions/test/fakeplatform.h
@@ -141,7 +141,8 @@
     std::vector<Watch> m_watches;
 };
 
-/// Members that answer each command with success and a log position, client statements after `executionTime`.
+/// Members that answer each command with success and a log position, client statements after `executionTime`. Fences are kept, and
+/// shown in later statuses.
 class FakeMembers : public MemberConnector
 {
 public:
@@ -166,6 +167,9 @@
     std::set<std::string> downMembers; ///< Members that refuse connections.
     std::vector<std::string> executedStatements; ///< Identifiers of the clients' statements, in order of arrival.
     decisions::Duration executionTime{};
+    /// Terms of the fences, and when each member was fenced first.
+    std::map<std::string, decisions::Term> fenceTerms;
+    std::map<std::string, TimePoint> fencedSince;
 
 private:
     class Link : public MemberLink
@@ -189,8 +193,12 @@
             answer.position = decisions::LogPosition{1, 1};
             answer.signature = isClientStatement ? "signed" : "";
             std::optional<ReplicationStatus> status;
-            if (command.kind == CommandKind::Status) {
-                status = ReplicationStatus{m_member.isRegisteredAsPrimary, 1, {1, 1}, 0, 0, 0, 1};
+            if (command.kind == CommandKind::Suspend) {
+                m_members.fenceTerms[m_member.id.text()] = command.term;
+                m_members.fencedSince.try_emplace(m_member.id.text(), EventLoop::now());
+            }
+            if (command.kind == CommandKind::Status || command.kind == CommandKind::Suspend) {
+                status = ReplicationStatus{m_member.isRegisteredAsPrimary, 1, {1, 1}, m_members.fenceTerms[m_member.id.text()], 0, 0, 1};
             }
             m_members.m_loop.after(isClientStatement ? m_members.executionTime : decisions::Duration{},
                                    [events = m_events, answer, status] {
@@ -210,12 +218,21 @@
     EventLoop &m_loop;
 };
 
-/// Never answers.
+/// Records the orders and never answers.
 class FakePromotions : public PromotionClient
 {
 public:
-    void order(const ServiceName &, const MemberId &, const std::string &, std::uint64_t, std::function<void(PromotionResult)>) override
-    {}
+    struct Order {
+        MemberId member;
+        TimePoint orderedAt;
+    };
+    void
+    order(const ServiceName &, const MemberId &member, const std::string &, std::uint64_t, std::function<void(PromotionResult)>) override
+    {
+        orders.push_back({member, EventLoop::now()});
+    }
+
+    std::vector<Order> orders;
 };
 
 /// Records the calls to a client's channel.
