A store that is away at the first request no longer stops a service for good

Cause: the first term record was written for dispatched requests only. After 0.3 s without evidence all requests were redirected before that, and without a record evidence can never come.

ensureTermExists() now reads and writes the record in each tick, whether or not requests are dispatched; the first home does so after 3 s without waiting for one. Without a record no evidence can be missing. While the store does not accept the record, requests are redirected; a record that names a primary ends that.

--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -308,6 +308,7 @@
     void deliverPrimaryAnswer(WorkNumber number, const HomeReply &reply, bool mayHaveWritten, TimePoint sentAt, TimePoint now);
     void releaseConfirmedAnswers(TimePoint now);
     void refuseUnconfirmableAnswers(TimePoint now);
+    void ensureTermExists(TimePoint now);
     void ensureListedInTerm(TimePoint now);
     void adoptTerm(const TermRecord &record, TimePoint now);
     void dropSupersededWork(TimePoint now);
@@ -315,6 +316,7 @@
     void redirectWhileStoreFails(TimePoint now);
     void updateEvidenceState(TimePoint now);
     bool isEvidenceMissing(TimePoint now) const;
+    bool isInUse(TimePoint now) const;
     void superviseGroup(TimePoint now);
     void advanceFencing(TimePoint now);
     void askHoldersToYield(TimePoint now);
@@ -388,8 +390,10 @@
     /// Until then, requests for the primary, and reads that no member can serve now, are redirected to another home, and a primary
     /// that is down is not suspected again.
     TimePoint m_redirectUntil = distantPast;
-    /// Consecutive changes that ended because the store did not accept the term record.
+    /// Consecutive changes that ended because the store did not accept the term record, and failed attempts to write the first one.
     std::uint32_t m_failedTermWrites = 0;
+    /// Since when this instance has been the first home; the current time while it is a substitute.
+    TimePoint m_firstHomeSince = distantPast;
     /// Witnesses that this home has taken out of the term record, or tried to, with the record's revision before that. They are no evidence
     /// unless a later revision names them.
     std::map<MemberId, std::uint64_t> m_droppedWitnesses;
--- a/decisions/src/session/grouphome.cpp
+++ b/decisions/src/session/grouphome.cpp
@@ -12,7 +12,6 @@
 {
 
 constexpr Duration minRetryDelay = 15ms; // minimum delay that a refusal tells the client to wait before a retry
-constexpr Duration activityGap = 1000ms; // without requests for this long, a substitute counts as newly in use again
 constexpr Duration lagMargin = 20ms; // added to the lag that a replica reports
 constexpr double avoidedPenalty = 1000; // high enough that an avoided member is chosen only if there is no other
 constexpr double failurePenalty = 0.5; // for each recently failed statement
@@ -40,7 +39,7 @@
 
 void GroupHome::request(const HomeRequest &request, TimePoint now)
 {
-    if (now - m_lastRequestAt > activityGap) {
+    if (!isInUse(now)) {
         m_activeSince = now;
     }
     m_lastRequestAt = now;
--- a/decisions/src/session/grouphomefailover.cpp
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -279,6 +279,7 @@
 /// replicas still have.
 void GroupHome::superviseGroup(TimePoint now)
 {
+    ensureTermExists(now);
     renewEvidence(now);
     const auto member = m_members.find(m_primary);
     const bool isDown = member == m_members.end() || member->second.health == Health::Down;
--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -12,7 +12,9 @@
 {
 
 constexpr Duration minTermReadInterval = 150ms; // between reads of the term record
-constexpr Duration minTermWriteInterval = 300ms; // between attempts to list this home in the term record
+constexpr Duration minTermWriteInterval = 300ms; // between attempts to write the first term record, or to list this home in it
+constexpr Duration activityGap = 1000ms; // without requests for this long, a home does not count as in use
+constexpr Duration firstHomeSettleTime = 3000ms; // in which instances that start together get to know each other
 constexpr Duration witnessCheckInterval = 1000ms; // between checks whether the term record names the right witnesses
 constexpr Duration witnessReadInterval = 4000ms; // between reads of the term record that keep the witnesses' word valid
 constexpr Duration redirectTime = 1000ms; // after the first failed write of the term record; doubles with each further one
@@ -120,6 +122,19 @@
     m_unconfirmedAnswers.insert(m_unconfirmedAnswers.end(), kept.begin(), kept.end());
 }
 
+/// Without a term record the service has no primary. Reads and writes the record until there is one, whether or not requests are
+/// dispatched: a home that redirects or refuses them all must find its way back too.
+void GroupHome::ensureTermExists(TimePoint now)
+{
+    if (!m_isFirstHome || m_firstHomeSince == distantPast) {
+        m_firstHomeSince = now;
+    }
+    const bool isSettledFirstHome = m_isFirstHome && now - m_firstHomeSince > firstHomeSettleTime;
+    if (!m_term && (isSettledFirstHome || isInUse(now))) {
+        ensureListedInTerm(now);
+    }
+}
+
 /// Writes this home into the term record, so that a change of primary waits for its lease.
 void GroupHome::ensureListedInTerm(TimePoint now)
 {
@@ -293,6 +308,7 @@
     m_primary = record.primary;
     if (!m_primary.isEmpty()) {
         m_leaderlessSince = distantPast;
+        m_redirectUntil = distantPast; // what kept this home from serving did so under an earlier record
     } else if (m_leaderlessSince == distantPast) {
         m_leaderlessSince = now;
     }
@@ -344,10 +360,11 @@
 {
     m_isWritingTerm = false;
     m_lastTermWriteAt = now;
-    if (m_change.stage == ChangeStage::WritingTerm) {
-        if (failure == TermWriteFailure::StoreUnavailable) {
-            redirectWhileStoreFails(now);
-        }
+    const bool isWritingChange = m_change.stage == ChangeStage::WritingTerm;
+    if ((isWritingChange || !m_term) && failure == TermWriteFailure::StoreUnavailable) {
+        redirectWhileStoreFails(now);
+    }
+    if (isWritingChange) {
         abandonChange("term-not-written", now);
     }
     m_lastTermReadAt = now;
@@ -370,6 +387,12 @@
     return std::max<Term>(applied, m_term ? m_term->term : 0);
 }
 
+/// Whether requests have come lately.
+bool GroupHome::isInUse(TimePoint now) const
+{
+    return now - m_lastRequestAt <= activityGap;
+}
+
 /// Whether evidence has been missing for so long that answers of the primary could not be passed on.
 bool GroupHome::isEvidenceMissing(TimePoint now) const
 {
@@ -381,7 +404,8 @@
 {
     const bool hasEvidence = now - m_lease.evidenceTime() < m_limits.leaseDuration;
     const bool isUnused = isEvidenceMissing(now) ? now - m_lastRequestAt > evidenceRetryAfter : isQuiet();
-    if (hasEvidence || isUnused || m_change.stage != ChangeStage::None || m_lastEvidenceAt == distantPast) {
+    const bool isWithoutRecord = m_isTermKnown && !m_term; // there is no term yet of which evidence could be missing
+    if (hasEvidence || isUnused || isWithoutRecord || m_change.stage != ChangeStage::None || m_lastEvidenceAt == distantPast) {
         m_lastEvidenceAt = now;
     }
 }
--- a/decisions/test/session/grouphome_test.cpp
+++ b/decisions/test/session/grouphome_test.cpp
@@ -471,4 +471,104 @@
     CHECK(group.timesSent("w2") == 1);
 }
 
+namespace
+{
+
+/// Brings up all members of a group that has no term record yet.
+void reachMembers(FakeGroup &group)
+{
+    group.statuses[MemberId("m1")].isPrimary = true;
+    for (const char *id : {"m1", "m2", "m3"}) {
+        group.logPositions[MemberId(id)] = {1, 10};
+    }
+    group.home.termSeen(std::nullopt, 0, group.now, group.now);
+    group.advanceTime(20ms);
+    group.answerAll();
+}
+
+/// Sends writes so often that some are always held, while the store rejects all writes of the term record. Returns the number of
+/// rejected ones.
+std::size_t sendWritesWithoutStore(FakeGroup &group, Duration time)
+{
+    std::size_t failedWrites = 0;
+    for (Duration elapsed{}; elapsed < time; elapsed += 10ms) {
+        group.home.request(group.writeRequest("early"), group.now);
+        if (group.termWrites.size() > failedWrites) {
+            failedWrites = group.termWrites.size();
+            group.home.termWriteFailed(TermWriteFailure::StoreUnavailable, group.now);
+        }
+        group.advanceTime(10ms);
+        group.answerAll();
+    }
+    return failedWrites;
+}
+
+} // namespace
+
+// Guards against a home that is shut for good: the first term record was written for dispatched requests only, and all were turned away
+// for lack of evidence of a term that did not exist.
+TEST_CASE("A store that is away at the first request delays the first term record only until it is back", "[grouphome]")
+{
+    FakeGroup group;
+    reachMembers(group);
+    const std::size_t rejectedWrites = sendWritesWithoutStore(group, 4500ms);
+    HomeRequest request = group.writeRequest("late");
+    for (Duration elapsed{}; elapsed < 1500ms && group.timesSent("late") == 0; elapsed += 10ms) {
+        if (group.termWrites.size() > rejectedWrites && !group.storedTerm) {
+            group.completeTermWrite();
+        }
+        request = group.writeRequest("late");
+        group.home.request(request, group.now);
+        group.advanceTime(10ms);
+        group.answerAll();
+    }
+    CHECK(group.home.primary() == MemberId("m1"));
+    REQUIRE(group.replyTo(request.number) != nullptr);
+    CHECK(group.replyTo(request.number)->answer.isSuccess());
+}
+
+TEST_CASE("Requests are redirected while the store does not accept the first term record", "[grouphome]")
+{
+    FakeGroup group;
+    reachMembers(group);
+    sendWritesWithoutStore(group, 400ms);
+    const HomeRequest request = group.writeRequest("w1");
+    group.home.request(request, group.now);
+    REQUIRE(group.replyTo(request.number) != nullptr);
+    CHECK(group.replyTo(request.number)->isRedirect);
+}
+
+TEST_CASE("The first home writes the first term record without waiting for a request", "[grouphome]")
+{
+    FakeGroup group;
+    reachMembers(group);
+    SECTION("as the first home")
+    {
+        group.advanceTime(4s);
+        REQUIRE(group.termWrites.size() >= 1);
+        CHECK(group.termWrites.front().first.primary == MemberId("m1"));
+    }
+    SECTION("but not as a substitute")
+    {
+        group.home.setFirstHome(false);
+        group.advanceTime(4s);
+        CHECK(group.termWrites.empty());
+    }
+}
+
+TEST_CASE("A home that has not read the term record goes on reading it while it redirects requests", "[grouphome]")
+{
+    FakeGroup group;
+    for (int i = 0; i < 200; ++i) {
+        group.home.request(group.writeRequest("early"), group.now);
+        group.advanceTime(10ms);
+    }
+    const int readsBefore = group.termReads;
+    for (int i = 0; i < 200; ++i) {
+        group.home.request(group.writeRequest("late"), group.now);
+        group.advanceTime(10ms);
+    }
+    CHECK(group.termReads > readsBefore);
+}
+
 } // namespace rattanbeam::decisions::session::test
--- a/decisions/test/session/groupschedule_test.cpp
+++ b/decisions/test/session/groupschedule_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <string>
+#include <vector>
 
 namespace rattanbeam::decisions::session::test
 {
@@ -41,7 +42,12 @@
 
 TEST_CASE("A group answers requests again after all faults have ended", "[groupschedule]")
 {
+    // In the first schedule, the store is away at the first request.
+    std::vector<std::uint32_t> seeds{30200065};
     for (std::uint32_t seed = firstSeed; seed < firstSeed + scheduleCount / 5; ++seed) {
+        seeds.push_back(seed);
+    }
+    for (const std::uint32_t seed : seeds) {
         GroupSchedule schedule(seed);
         for (int i = 0; i < stepsPerSchedule; ++i) {
             schedule.step();
