The answer of a watch that was replaced meanwhile is applied

Callers saw (CONFIG): a busy relay refused databases of a new configuration until its load had ended, 9.5 s after the acknowledgement.

Cause: a relay that is behind a peer replaces its watch every 1.5 s and discarded the answer of the watch before.

Such an answer is now applied as far as it is news.

--- a/sessions/include/rattanbeam/sessions/internal/directory.h
+++ b/sessions/include/rattanbeam/sessions/internal/directory.h
@@ -123,7 +123,7 @@
         /// Whether the records have been listed, from the store or from a peer.
         bool isLoaded = false;
         decisions::Duration backoff{};
-        /// Number of the latest watch; answers to earlier ones are ignored.
+        /// Number of the latest watch; answers to earlier ones neither begin another watch nor confirm this directory.
         std::uint64_t watchNumber = 0;
         bool isWatching = false;
         /// When a watch last ended with events.
@@ -137,6 +137,7 @@
     void list(CollectionState &state);
     void watch(CollectionState &state);
     void watchEnded(CollectionState &state, StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision);
+    void replacedWatchEnded(CollectionState &state, StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision);
     void scheduleWatch(CollectionState &state, decisions::Duration delay);
     void recordStoreConfirmation(const CollectionState &state, TimePoint confirmedAt);
     void resync(CollectionState &state);
--- a/sessions/src/internal/directory.cpp
+++ b/sessions/src/internal/directory.cpp
@@ -3,6 +3,7 @@
 #include "rattanbeam/kernel/logevent.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -229,7 +230,8 @@
                   watchWait(state.collection),
                   [this, &state, watchNumber](StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision) {
                       if (watchNumber != state.watchNumber) {
-                          return; // replaced by a later watch
+                          replacedWatchEnded(state, outcome, records, revision);
+                          return;
                       }
                       state.isWatching = false;
                       watchEnded(state, outcome, records, revision);
@@ -260,6 +262,21 @@
     scheduleWatch(state, eventBatchDelay(state.collection, m_isRelay, isBurst));
 }
 
+/// A watch is replaced because its connection may have gone silent. If it was only slow, its answer is applied as far as it is news, so
+/// that replacing watches again and again cannot keep an instance behind.
+void Directory::replacedWatchEnded(CollectionState &state, StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision)
+{
+    if (outcome != StoreOutcome::Done || revision <= state.revision) {
+        return;
+    }
+    std::vector<Record> news;
+    std::copy_if(records.begin(), records.end(), std::back_inserter(news), [&](const Record &record) {
+        return record.revision > state.revision;
+    });
+    state.revision = revision;
+    applyEvents(state, news);
+}
+
 void Directory::scheduleWatch(CollectionState &state, decisions::Duration delay)
 {
     if (delay == decisions::Duration::zero()) {
--- a/sessions/test/fakeplatform.h
+++ b/sessions/test/fakeplatform.h
@@ -5,6 +5,7 @@
 #include "rattanbeam/sessions/sessioninstance.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -97,6 +98,9 @@
     std::uint64_t revision = 1;
     bool isUnavailable = false;
     int watchesStarted = 0;
+    /// Keeps the answers of watches in `heldWatchAnswers`, as if they were still on their way.
+    bool isHoldingWatchAnswers = false;
+    std::vector<std::function<void()>> heldWatchAnswers;
     std::chrono::milliseconds longestWatchWait{};
 
 private:
@@ -128,6 +132,10 @@
                 const auto changedRecords = recordsAfter(watch.collection, watch.afterRevision);
                 if (changedRecords.empty()) {
                     pendingWatches.push_back(std::move(watch));
+                } else if (isHoldingWatchAnswers) {
+                    heldWatchAnswers.emplace_back([callback = std::move(watch.callback), changedRecords, heldRevision = revision] {
+                        callback(StoreOutcome::Done, changedRecords, heldRevision);
+                    });
                 } else {
                     watch.callback(StoreOutcome::Done, changedRecords, revision);
                 }
