A home that sees the end of the change that it takes over adopts the primary

Cause: termSeen() stored a record that named a primary of the known generation, but did not adopt it while the home was writing the next generation. After that change was abandoned the stored record equalled all later ones, so it was never adopted.

Such a record now ends the home's own change while its generation is not in the store, and is adopted. The home's own write fails, since it expects the record as it was before.

--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -258,6 +258,12 @@
     // An earlier unfinished change of this home may still be read while its next generation is being written.
     const bool isOwnChange = m_change.stage == ChangeStage::WritingTerm && record->generation == m_change.generation
                              && record->primary.isEmpty() && !record->homes.empty() && record->homes.front() == m_self;
+    // Another home has ended the change that this home is about to replace. Its own write fails, since it expects the earlier record.
+    const bool isChangeUnwritten = m_change.stage == ChangeStage::AskingPeers || m_change.stage == ChangeStage::Quiescing
+                                   || m_change.stage == ChangeStage::WritingTerm;
+    if (isPrimaryNamed && isChangeUnwritten && !record->primary.isEmpty()) {
+        abandonChange("another-home-named-the-primary", now);
+    }
     if (isNewer || (isPrimaryNamed && m_change.stage == ChangeStage::None)) {
         adoptTerm(*record, now);
         m_lease.restart(record->generation, isListed, replicaIds());
--- a/decisions/test/session/grouphomefailover_test.cpp
+++ b/decisions/test/session/grouphomefailover_test.cpp
@@ -185,6 +185,44 @@
     }));
 }
 
+// Guards against a home that refuses everything for good: another home's write that ended the change was seen while this home was writing
+// the next generation, and was stored without being adopted.
+TEST_CASE("A change that another home ends while this one takes it over is taken as ended", "[grouphomefailover]")
+{
+    FakeGroup group;
+    group.makeHealthy();
+    TermRecord record = *group.storedTerm;
+    record.generation = 2;
+    record.primary = MemberId();
+    record.homes = {"c1/1"};
+    group.home.termSeen(record, ++group.termRevision, group.now, group.now);
+    group.advanceTime(5s);
+    REQUIRE(group.termWrites.back().first.generation == 3); // takes the change over
+    record.primary = MemberId("m2");
+    record.term = 2;
+    group.statuses[MemberId("m1")].isPrimary = false;
+    group.statuses[MemberId("m2")] = {true, 2, {2, 10}, 0, 0, 0, 1};
+    group.logPositions[MemberId("m2")] = {2, 10};
+    SECTION("the write of the next generation fails afterwards")
+    {
+        group.home.termSeen(record, ++group.termRevision, distantPast, group.now);
+        group.home.termWriteFailed(TermWriteFailure::Superseded, group.now);
+    }
+    SECTION("the write of the next generation is not answered")
+    {
+        group.home.termSeen(record, ++group.termRevision, distantPast, group.now);
+        group.advanceTime(3s);
+    }
+    CHECK(group.home.primary() == MemberId("m2"));
+    group.storedTerm = record;
+    const HomeRequest request = group.writeRequest("w1");
+    group.home.request(request, group.now);
+    REQUIRE(runWithStoreUntil(group, 1s, [&] {
+        return group.replyTo(request.number) != nullptr;
+    }));
+    CHECK(group.replyTo(request.number)->answer.isSuccess());
+}
+
 TEST_CASE("A home recognizes the primary whose promotion it ordered, and sends writes to it", "[grouphomefailover]")
 {
     FakeGroup group;
