Only the first term record ends the redirection of a home that could not write it

Read as a newcomer: adoptTerm() ended the redirection for every new record that names a primary, also for one that another home had written while this one could not reach the store, and which this home learned from peers. There the reason to redirect still holds.

--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -310,11 +310,13 @@
     if (!m_term || m_term->generation != record.generation) {
         m_droppedWitnesses.clear();
     }
+    if (!m_term) {
+        m_redirectUntil = distantPast; // the store has the first record, which this home could not write
+    }
     m_term = record;
     m_primary = record.primary;
     if (!m_primary.isEmpty()) {
         m_leaderlessSince = distantPast;
-        m_redirectUntil = distantPast; // what kept this home from serving did so under an earlier record
     } else if (m_leaderlessSince == distantPast) {
         m_leaderlessSince = now;
     }
