Clients are identified by their keys

A configuration with workspaces makes each session present a key (NOAUTH otherwise), also for the next statement of a session that is already open; exempt routes accept any key.

--- a/decisions/include/rattanbeam/decisions/session/fleetrecords.h
+++ b/decisions/include/rattanbeam/decisions/session/fleetrecords.h
@@ -4,6 +4,7 @@
 #include "rattanbeam/decisions/rank.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -13,6 +14,8 @@
 {
 
 using ServiceName = Identifier<struct ServiceTag>;
+/// Name of a workspace; an empty name stands for none.
+using WorkspaceName = Identifier<struct WorkspaceTag>;
 
 /// Which commits a read on a route must see.
 enum class Consistency {
@@ -33,6 +36,8 @@
     std::uint32_t objectiveMs = 1000;
     /// Maximum age of the data that a read may return, unless its consistency is Latest.
     std::uint32_t stalenessLimitMs = 0;
+    /// Whether clients need no key for this database.
+    bool isAuthenticationExempt = false;
 
     auto operator<=>(const Route &) const = default;
 };
@@ -41,21 +46,40 @@
     ServiceName service;
     /// Connections that each member accepts, from all callers together.
     std::uint32_t maxConnections = 16;
+    /// Number of replicas that have received a commit before the primary acknowledges it.
+    std::uint32_t synchronousReplicas = 0;
 
     auto operator<=>(const ServiceLimits &) const = default;
 };
 
+/// A group of callers that share keys and a quota.
+struct Workspace {
+    WorkspaceName name;
+    /// Each client of the workspace presents one of these keys.
+    std::vector<std::string> keys;
+    /// Operations per second that the workspace may run on all instances together; 0 sets no limit.
+    double ratePerSecond = 0;
+    /// Operations that the workspace may run at once after it was idle.
+    double burst = 0;
+
+    auto operator<=>(const Workspace &) const = default;
+};
+
 /// One version of the fleet's configuration.
 struct FleetConfiguration {
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::vector<ServiceLimits> services;
     std::uint32_t transactionIdleMs = 3000;
+    /// Without a value, clients are not identified.
+    std::optional<std::vector<Workspace>> workspaces{};
 
     /// The database's route, or null if there is none.
     const Route *route(const DatabaseName &database) const;
     /// The connection limit of each of the service's members, or a default if none is configured.
     std::uint32_t maxConnections(const ServiceName &service) const;
+    /// The service's limits, or defaults if none are configured.
+    ServiceLimits limitsOf(const ServiceName &service) const;
     auto operator<=>(const FleetConfiguration &) const = default;
 };
 
--- a/decisions/include/rattanbeam/decisions/session/homemessages.h
+++ b/decisions/include/rattanbeam/decisions/session/homemessages.h
@@ -38,6 +38,8 @@
 struct HomeRequest {
     RequestNumber number = 0;
     TransactionKey transaction;
+    /// Workspace of the client; empty if clients are not identified.
+    WorkspaceName workspace;
     ForwardedStatement forwarded;
     Consistency consistency = Consistency::Latest;
     Rank rank = Rank::Batch;
@@ -118,7 +120,8 @@
 {
 public:
     virtual ~HomeEffects() = default;
-    virtual void openConnection(ConnectionNumber connection, const MemberRecord &member) = 0;
+    /// Opens a connection for statements of `workspace`; an empty name stands for the instance itself.
+    virtual void openConnection(ConnectionNumber connection, const MemberRecord &member, const WorkspaceName &workspace) = 0;
     virtual void sendCommand(ConnectionNumber connection, const MemberCommand &command) = 0;
     virtual void closeConnection(ConnectionNumber connection) = 0;
     virtual void reply(RequestNumber request, const HomeReply &reply) = 0;
--- a/decisions/include/rattanbeam/decisions/session/statement.h
+++ b/decisions/include/rattanbeam/decisions/session/statement.h
@@ -65,6 +65,7 @@
     Failed, ///< The statement ran and failed.
     TimedOut, ///< The statement may have run.
     InDoubt, ///< The statement may have run.
+    Unauthenticated, ///< The client's key is unknown. Last, so that instances of earlier builds read the other numbers as before.
 };
 
 /// Whether the error guarantees that the statement had no effect.
--- a/decisions/src/session/fleetrecords.cpp
+++ b/decisions/src/session/fleetrecords.cpp
@@ -14,12 +14,17 @@
 }
 
 std::uint32_t FleetConfiguration::maxConnections(const ServiceName &service) const
+{
+    return limitsOf(service).maxConnections;
+}
+
+ServiceLimits FleetConfiguration::limitsOf(const ServiceName &service) const
 {
     constexpr std::uint32_t defaultMaxConnections = 8;
     const auto found = std::find_if(services.begin(), services.end(), [&](const ServiceLimits &limits) {
         return limits.service == service;
     });
-    return found == services.end() ? defaultMaxConnections : found->maxConnections;
+    return found == services.end() ? ServiceLimits{service, defaultMaxConnections} : *found;
 }
 
 std::string instanceNameOf(const std::string &home)
--- a/decisions/src/session/grouphomeconnections.cpp
+++ b/decisions/src/session/grouphomeconnections.cpp
@@ -51,7 +51,7 @@
     const ConnectionNumber number = ++m_lastConnectionNumber;
     member.connections.add(number, now);
     m_connectionOwners[number] = member.record.id;
-    m_effects.openConnection(number, member.record);
+    m_effects.openConnection(number, member.record, WorkspaceName());
 }
 
 void GroupHome::connectionOpened(ConnectionNumber number, TimePoint now)
--- a/decisions/src/session/statement.cpp
+++ b/decisions/src/session/statement.cpp
@@ -45,6 +45,8 @@
         return "timed-out";
     case StatementError::InDoubt:
         return "in-doubt";
+    case StatementError::Unauthenticated:
+        return "unauthenticated";
     }
     return "unknown";
 }
--- a/decisions/test/session/fakegroup.h
+++ b/decisions/test/session/fakegroup.h
@@ -37,7 +37,7 @@
     {
         return {MemberId(id), ServiceName("orders"), id + ":1", FailureDomain("a"), 2, false, isRegisteredAsPrimary, 1};
     }
-    void openConnection(ConnectionNumber connection, const MemberRecord &record) override
+    void openConnection(ConnectionNumber connection, const MemberRecord &record, const WorkspaceName &) override
     {
         connectionMembers[connection] = record.id;
         openingConnections.push_back(connection);
--- a/decisions/test/session/groupschedule.h
+++ b/decisions/test/session/groupschedule.h
@@ -113,7 +113,7 @@
         {
             reachesMember.fill(true);
         }
-        void openConnection(ConnectionNumber connection, const MemberRecord &record) override
+        void openConnection(ConnectionNumber connection, const MemberRecord &record, const WorkspaceName &) override
         {
             connectionMembers[connection] = schedule.memberIndex(record.id);
             runAfter(20ms, [this, connection] {
--- a/sessions/include/rattanbeam/sessions/internal/entryservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/entryservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanbeam/decisions/session/callerindex.h"
 #include "rattanbeam/decisions/session/clientsession.h"
 #include "rattanbeam/kernel/metrics.h"
 #include "rattanbeam/sessions/eventloop.h"
@@ -14,6 +15,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -41,7 +43,8 @@
                  HomeService &homes,
                  kernel::Metrics &metrics);
 
-    SessionNumber sessionOpened(const std::shared_ptr<ClientChannel> &channel, const decisions::DatabaseName &database) override;
+    SessionNumber
+    sessionOpened(const std::shared_ptr<ClientChannel> &channel, const decisions::DatabaseName &database, const std::string &key) override;
     void statementArrived(SessionNumber session, const Statement &statement) override;
     void sessionClosed(SessionNumber session) override;
 
@@ -70,6 +73,9 @@
     struct Session {
         std::shared_ptr<ClientChannel> channel;
         decisions::DatabaseName database;
+        std::string key;
+        /// Workspace on whose behalf the latest statement was accepted.
+        WorkspaceName workspace;
         ClientSession state;
         /// Statements that arrived while an earlier one was under way.
         std::deque<Statement> queuedStatements;
@@ -96,6 +102,11 @@
         std::set<std::string> triedHomes;
     };
 
+    /// The workspace index of the configuration in force.
+    const CallerIndex &callers();
+    /// Whether the session's client may still use its database, on behalf of the workspace of its open transaction if there is one.
+    bool authenticate(Session &session, const Route &route);
+    void refuseSession(SessionNumber number, StatementError error, const std::string &text);
     void processQueuedStatements(SessionNumber number);
     void processStatement(SessionNumber number, const Statement &statement);
     void answerLocally(SessionNumber number, const Statement &statement, const Answer &answer);
@@ -119,6 +130,9 @@
     PeerLinks &m_links;
     HomeService &m_homes;
     kernel::Metrics &m_metrics;
+    std::optional<CallerIndex> m_callers;
+    /// Version of the configuration that `m_callers` was made from.
+    std::uint64_t m_callersVersion = 0;
     std::map<SessionNumber, Session> m_sessions;
     SessionNumber m_lastSessionNumber = 0;
     std::map<std::uint64_t, PendingRequest> m_pendingRequests;
--- a/sessions/include/rattanbeam/sessions/ports.h
+++ b/sessions/include/rattanbeam/sessions/ports.h
@@ -39,8 +39,10 @@
 {
 public:
     virtual ~FrontHandler() = default;
-    /// Returns the number of the new session, or 0 if it was refused.
-    virtual SessionNumber sessionOpened(const std::shared_ptr<ClientChannel> &channel, const decisions::DatabaseName &database) = 0;
+    /// Returns the number of the new session, or 0 if it was refused. `key` identifies the caller.
+    virtual SessionNumber
+    sessionOpened(const std::shared_ptr<ClientChannel> &channel, const decisions::DatabaseName &database, const std::string &key)
+        = 0;
     virtual void statementArrived(SessionNumber session, const Statement &statement) = 0;
     virtual void sessionClosed(SessionNumber session) = 0;
 };
@@ -67,7 +69,9 @@
 {
 public:
     virtual ~MemberConnector() = default;
-    virtual std::unique_ptr<MemberLink> connect(const MemberRecord &member, std::chrono::milliseconds timeout, MemberLinkEvents events) = 0;
+    /// The server is told `workspace` as the caller, or the instance's name if it is empty.
+    virtual std::unique_ptr<MemberLink>
+    connect(const MemberRecord &member, const WorkspaceName &workspace, std::chrono::milliseconds timeout, MemberLinkEvents events) = 0;
 };
 
 /// Outcome of a call to the store.
--- a/sessions/src/internal/directorysnapshot.cpp
+++ b/sessions/src/internal/directorysnapshot.cpp
@@ -26,11 +26,25 @@
         routeMessage->set_timeout_ms(route.timeoutMs);
         routeMessage->set_objective_ms(route.objectiveMs);
         routeMessage->set_max_staleness_ms(route.stalenessLimitMs);
+        routeMessage->set_authentication_exempt(route.isAuthenticationExempt);
     }
     for (const ServiceLimits &limits : configuration.services) {
         auto *limitsMessage = message.add_services();
         limitsMessage->set_service(limits.service.text());
         limitsMessage->set_max_connections(limits.maxConnections);
+        limitsMessage->set_synchronous_replicas(limits.synchronousReplicas);
+    }
+    if (configuration.workspaces) {
+        message.set_identifies_clients(true);
+        for (const Workspace &workspace : *configuration.workspaces) {
+            auto *workspaceMessage = message.add_workspaces();
+            workspaceMessage->set_name(workspace.name.text());
+            for (const std::string &key : workspace.keys) {
+                workspaceMessage->add_keys(key);
+            }
+            workspaceMessage->set_rate_per_second(workspace.ratePerSecond);
+            workspaceMessage->set_burst(workspace.burst);
+        }
     }
 }
 
@@ -48,10 +62,21 @@
         route.timeoutMs = routeMessage.timeout_ms();
         route.objectiveMs = routeMessage.objective_ms();
         route.stalenessLimitMs = routeMessage.max_staleness_ms();
+        route.isAuthenticationExempt = routeMessage.authentication_exempt();
         configuration.routes.push_back(route);
     }
     for (const auto &limitsMessage : message.services()) {
-        configuration.services.push_back({ServiceName(limitsMessage.service()), limitsMessage.max_connections()});
+        configuration.services.push_back(
+            {ServiceName(limitsMessage.service()), limitsMessage.max_connections(), limitsMessage.synchronous_replicas()});
+    }
+    if (message.identifies_clients()) {
+        configuration.workspaces.emplace();
+        for (const auto &workspaceMessage : message.workspaces()) {
+            configuration.workspaces->push_back({WorkspaceName(workspaceMessage.name()),
+                                                 {workspaceMessage.keys().begin(), workspaceMessage.keys().end()},
+                                                 workspaceMessage.rate_per_second(),
+                                                 workspaceMessage.burst()});
+        }
     }
     return configuration;
 }
--- a/sessions/src/internal/entryservice.cpp
+++ b/sessions/src/internal/entryservice.cpp
@@ -56,22 +56,28 @@
     : m_loop(loop), m_settings(settings), m_directory(directory), m_links(links), m_homes(homes), m_metrics(metrics)
 {}
 
-SessionNumber EntryService::sessionOpened(const std::shared_ptr<ClientChannel> &channel, const decisions::DatabaseName &database)
+SessionNumber
+EntryService::sessionOpened(const std::shared_ptr<ClientChannel> &channel, const decisions::DatabaseName &database, const std::string &key)
 {
     if (!m_directory.isReady()) {
         channel->refuse(StatementError::Busy, "starting retry-after-ms=500");
         return 0;
     }
-    if (m_directory.configuration()->route(database) == nullptr) {
+    const Route *route = m_directory.configuration()->route(database);
+    const auto workspace = route == nullptr ? std::nullopt : callers().identify(*route, key);
+    if (!workspace) {
+        const StatementError error = route == nullptr ? StatementError::UnknownDatabase : StatementError::Unauthenticated;
         m_metrics.count("sessions_refused");
-        LogEvent("session-refused").with("database", database).with("version", m_directory.configuration()->version);
-        channel->refuse(StatementError::UnknownDatabase, database.text());
+        LogEvent("session-refused").with("database", database).with("error", error).with("version", m_directory.configuration()->version);
+        channel->refuse(error, database.text());
         return 0;
     }
     const SessionNumber number = ++m_lastSessionNumber;
     Session &session = m_sessions[number];
     session.channel = channel;
     session.database = database;
+    session.key = key;
+    session.workspace = *workspace;
     m_metrics.count("sessions_opened");
     channel->accept();
     return number;
@@ -103,6 +109,38 @@
     }
 }
 
+const CallerIndex &EntryService::callers()
+{
+    const FleetConfiguration &configuration = *m_directory.configuration();
+    if (!m_callers || m_callersVersion != configuration.version) {
+        m_callers.emplace(configuration);
+        m_callersVersion = configuration.version;
+    }
+    return *m_callers;
+}
+
+bool EntryService::authenticate(Session &session, const Route &route)
+{
+    const auto workspace = callers().identify(route, session.key);
+    if (!workspace || (session.state.phase() != SessionPhase::Idle && *workspace != session.workspace)) {
+        return false;
+    }
+    session.workspace = *workspace;
+    return true;
+}
+
+void EntryService::refuseSession(SessionNumber number, StatementError error, const std::string &text)
+{
+    m_metrics.count("sessions_refused");
+    LogEvent("session-ended")
+        .with("session", number)
+        .with("database", m_sessions.at(number).database)
+        .with("error", error)
+        .with("version", m_directory.configuration()->version);
+    m_sessions.at(number).channel->refuse(error, text);
+    sessionClosed(number);
+}
+
 void EntryService::processStatement(SessionNumber number, const Statement &statement)
 {
     Session &session = m_sessions.at(number);
@@ -111,12 +149,15 @@
         // A changed route takes effect only between transactions.
         const Route *route = m_directory.configuration()->route(session.database);
         if (route == nullptr) {
-            session.channel->refuse(StatementError::UnknownDatabase, session.database.text());
-            sessionClosed(number);
+            refuseSession(number, StatementError::UnknownDatabase, session.database.text());
             return;
         }
         session.transactionRoute = *route;
     }
+    if (!authenticate(session, session.transactionRoute)) {
+        refuseSession(number, StatementError::Unauthenticated, session.database.text());
+        return;
+    }
     const std::uint64_t startedTransaction = session.state.startedTransaction();
     const auto next = session.state.handleStatement(statement);
     if (const auto *answer = std::get_if<Answer>(&next)) {
@@ -202,6 +243,7 @@
     const ForwardedStatement &forwarded = pending.forwarded;
     message.set_request(request);
     message.set_session(pending.session);
+    message.set_workspace(session.workspace.text());
     message.set_transaction(forwarded.transaction);
     message.set_opens(forwarded.opensTransaction);
     message.set_read_only(forwarded.isReadOnly);
--- a/sessions/src/internal/homeinquiries.cpp
+++ b/sessions/src/internal/homeinquiries.cpp
@@ -50,7 +50,7 @@
     events.failed = [finish](ConnectFailure failure) {
         finish(failure == ConnectFailure::Overloaded); // only a running member refuses so
     };
-    m_probes[number] = m_ports.members->connect(member, probeTimeout, std::move(events));
+    m_probes[number] = m_ports.members->connect(member, WorkspaceName(), probeTimeout, std::move(events));
 }
 
 void HomeService::probeMembersInOtherDomains(const std::function<void(std::size_t, std::size_t)> &callback)
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -25,6 +25,7 @@
     if (message.transaction() != 0) {
         request.transaction = {entry, message.session(), message.transaction()};
     }
+    request.workspace = WorkspaceName(message.workspace());
     request.forwarded.transaction = message.transaction();
     request.forwarded.opensTransaction = message.opens();
     request.forwarded.isReadOnly = message.read_only();
@@ -86,7 +87,7 @@
         return m_home;
     }
 
-    void openConnection(ConnectionNumber number, const MemberRecord &member) override
+    void openConnection(ConnectionNumber number, const MemberRecord &member, const WorkspaceName &workspace) override
     {
         MemberLinkEvents events;
         events.opened = [this, number] {
@@ -99,7 +100,7 @@
         events.answered = [this, number](const Answer &answer, const std::optional<ReplicationStatus> &status) {
             m_home.answered(number, answer, status, EventLoop::now());
         };
-        m_links[number] = m_service.m_ports.members->connect(member, connectTimeout, std::move(events));
+        m_links[number] = m_service.m_ports.members->connect(member, workspace, connectTimeout, std::move(events));
     }
     void sendCommand(ConnectionNumber number, const MemberCommand &command) override
     {
--- a/sessions/test/fakeplatform.h
+++ b/sessions/test/fakeplatform.h
@@ -156,7 +156,8 @@
 public:
     explicit FakeMembers(EventLoop &loop) : m_loop(loop)
     {}
-    std::unique_ptr<MemberLink> connect(const MemberRecord &member, std::chrono::milliseconds, MemberLinkEvents events) override
+    std::unique_ptr<MemberLink>
+    connect(const MemberRecord &member, const WorkspaceName &, std::chrono::milliseconds, MemberLinkEvents events) override
     {
         const auto sharedEvents = std::make_shared<MemberLinkEvents>(std::move(events));
         const bool isDown = downMembers.contains(member.id.text());
@@ -325,10 +326,10 @@
         }
         return isDone();
     }
-    std::pair<SessionNumber, std::shared_ptr<FakeClient>> openSession(const std::string &database = "shop")
+    std::pair<SessionNumber, std::shared_ptr<FakeClient>> openSession(const std::string &database = "shop", const std::string &key = {})
     {
         auto client = std::make_shared<FakeClient>();
-        const SessionNumber number = instance->front().sessionOpened(client, decisions::DatabaseName(database));
+        const SessionNumber number = instance->front().sessionOpened(client, decisions::DatabaseName(database), key);
         return {number, client};
     }
     static Statement makeWriteStatement(const std::string &id)
--- a/sessions/test/sessioninstance_test.cpp
+++ b/sessions/test/sessioninstance_test.cpp
@@ -31,6 +31,37 @@
     CHECK(fixture.openSession("nowhere").second->refusal == StatementError::UnknownDatabase);
 }
 
+TEST_CASE("A client needs a key of the configuration in force, also for the next statement of an open session", "[sessioninstance]")
+{
+    InstanceFixture fixture;
+    const auto putConfiguration = [&](std::uint64_t version, const std::vector<std::string> &keys) {
+        auto configuration = std::get<FleetConfiguration>(fixture.store->records.at({Collection::Configuration, "main"}).value);
+        configuration.version = version;
+        configuration.workspaces = {{WorkspaceName("mill"), keys}};
+        fixture.store->put(Collection::Configuration, "main", configuration);
+    };
+    putConfiguration(4, {"old", "kept"});
+    REQUIRE(fixture.runUntil([&] {
+        return fixture.instance->isReady();
+    }));
+    CHECK(fixture.openSession("shop", "new").second->refusal == StatementError::Unauthenticated);
+    const auto [oldSession, oldClient] = fixture.openSession("shop", "old");
+    const auto [keptSession, keptClient] = fixture.openSession("shop", "kept");
+    REQUIRE(oldClient->isAccepted);
+    REQUIRE(keptClient->isAccepted);
+
+    putConfiguration(5, {"kept", "new"});
+    REQUIRE(fixture.runUntil([&] {
+        return fixture.openSession("shop", "new").second->isAccepted;
+    }));
+    const std::size_t executedBefore = fixture.members->executedStatements.size();
+    fixture.instance->front().statementArrived(oldSession, InstanceFixture::makeWriteStatement("w1"));
+    CHECK(oldClient->refusal == StatementError::Unauthenticated);
+    CHECK(fixture.members->executedStatements.size() == executedBefore);
+    fixture.instance->front().statementArrived(keptSession, InstanceFixture::makeWriteStatement("w2"));
+    CHECK_FALSE(keptClient->refusal);
+}
+
 TEST_CASE("An instance that reaches neither the store nor peers is not ready and refuses sessions", "[sessioninstance]")
 {
     InstanceFixture fixture(false);
