--- a/decisions/benchmark/decisions_benchmark.cpp
+++ b/decisions/benchmark/decisions_benchmark.cpp
@@ -5,6 +5,7 @@
 #include "rattanbeam/decisions/fleetview.h"
 #include "rattanbeam/decisions/groupobserver.h"
 #include "rattanbeam/decisions/memberhome.h"
+#include "rattanbeam/decisions/rankqueue.h"
 #include "rattanbeam/decisions/sessiontoken.h"
 
 #include <benchmark/benchmark.h>
@@ -141,6 +142,46 @@
 }
 BENCHMARK(homeStatement);
 
+/// Takes one statement through an overloaded queue in which each of several customers has work waiting.
+void queueOfCustomers(benchmark::State &state)
+{
+    const auto customers = static_cast<std::size_t>(state.range(0));
+    QueueLimits limits;
+    limits.slots = 6;
+    limits.capacity = 2 * customers;
+    RankQueue queue(limits);
+    const ConnectionTest isConnectionFree = [](const CustomerId &, bool) {
+        return true;
+    };
+    QueuedWork work;
+    work.connectionLimit = 66;
+    work.deadline = start + 10s;
+    work.wantedBy = start + 10s;
+    std::vector<CustomerId> names;
+    for (std::size_t i = 0; i < customers; ++i) {
+        names.emplace_back("workspace-" + std::to_string(i));
+    }
+    for (std::size_t i = 0; i < 2 * customers; ++i) {
+        work.id = i + 1;
+        work.customer = names[i % customers];
+        queue.offer(work, start);
+    }
+    std::vector<WorkId> running;
+    for ([[maybe_unused]] auto _ : state) {
+        for (const QueueDecision &decision : queue.advance(start, 1, isConnectionFree)) {
+            running.push_back(decision.id);
+        }
+        if (!running.empty()) {
+            queue.finished(running.back(), start);
+            running.pop_back();
+        }
+        ++work.id;
+        work.customer = names[work.id % customers];
+        benchmark::DoNotOptimize(queue.offer(work, start));
+    }
+}
+BENCHMARK(queueOfCustomers)->Arg(1)->Arg(87)->Arg(400);
+
 /// One probe interval of an observer: a tick and the answers to its probes.
 void observerInterval(benchmark::State &state)
 {
--- a/decisions/include/rattanbeam/decisions/rankqueue.h
+++ b/decisions/include/rattanbeam/decisions/rankqueue.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -30,10 +31,15 @@
     bool isPinned = false;
     /// If the work ahead is not expected to let it end by this time, the queue counts as full for it.
     TimePoint wantedBy = TimePoint::max();
+    /// The statement opens a transaction that keeps its connection. Such work can be held back separately, see ConnectionTest.
+    bool opensTransaction = false;
 
     auto operator<=>(const QueuedWork &) const = default;
 };
 
+/// Whether unpinned work of the customer may take a connection now.
+using ConnectionTest = std::function<bool(const CustomerId &customer, bool opensTransaction)>;
+
 /// Bounds of one member's queue.
 struct QueueLimits {
     /// Maximum number of statements that the member runs at once.
@@ -88,13 +94,15 @@
     std::optional<Outcome> offer(const QueuedWork &work, TimePoint now);
 
     /// Starts work that may start and refuses work that can no longer meet its deadline. At most `freeConnections`
-    /// statements are started that are not pinned to a connection.
-    std::vector<QueueDecision> advance(TimePoint now, std::size_t freeConnections);
+    /// statements are started that are not pinned to a connection, and only of customers that pass `isConnectionFree`, if it is set.
+    std::vector<QueueDecision> advance(TimePoint now, std::size_t freeConnections, const ConnectionTest &isConnectionFree = {});
 
     /// A started statement has ended: frees its slot and updates the mean service time of its rank.
     void finished(WorkId id, TimePoint now);
     /// A started statement was abandoned: frees its slot. Its duration does not count as a service time.
     void abandoned(WorkId id, TimePoint now);
+    /// A started statement was not sent: frees its slot, and the statement waits again.
+    void requeue(WorkId id, TimePoint now);
 
     /// Removes waiting work; false if it is not waiting.
     bool cancel(WorkId id);
@@ -123,6 +131,8 @@
     {
         return m_running.size();
     }
+    /// The customers with waiting work that is not pinned.
+    std::set<CustomerId> waitingCustomers() const;
     /// Share that `rank` had of the recently used slot time, 0 to 1.
     double recentShare(Rank rank, TimePoint now) const;
     /// Time at which new work of `rank` can expect to start.
@@ -145,10 +155,12 @@
         WorkId id = 0;
         auto operator<=>(const WaitingKey &) const = default;
     };
-    /// Pinned work of a customer is queued separately, since it needs no free connection.
+    /// Pinned work of a customer is queued separately, since it needs no free connection. So is work that opens transactions, since it
+    /// may be held back alone; it shares the customer's finish tag with the customer's other unpinned work.
     struct CustomerKey {
         CustomerId customer;
         bool isPinned = false;
+        bool opensTransaction = false;
         auto operator<=>(const CustomerKey &) const = default;
     };
     struct CustomerQueue {
@@ -168,27 +180,54 @@
         double meanServiceSeconds = 0;
     };
     struct RunningWork {
-        Rank rank = Rank::Batch;
-        CustomerKey customer;
+        QueuedWork work;
         TimePoint startedAt;
     };
+    struct FreeConnections {
+        std::size_t count = 0;
+        const ConnectionTest &isFreeFor;
+    };
+    /// How much work of one customer waits in a rank, over all of its queues.
+    struct CustomerBacklog {
+        CustomerId customer;
+        std::size_t waiting = 0;
+    };
 
-    Duration backlogAhead(Rank rank) const;
+    static CustomerKey keyOf(const QueuedWork &work)
+    {
+        return {work.customer, work.isPinned, work.opensTransaction};
+    }
+    static CustomerKey siblingOf(const CustomerKey &key)
+    {
+        return {key.customer, key.isPinned, !key.opensTransaction};
+    }
+    void insertWaiting(const QueuedWork &work);
+    std::vector<CustomerBacklog> customerBacklogs(Rank rank) const;
+    bool isAnotherWaiting(const QueuedWork &work) const;
+    std::size_t waitingAhead(Rank rank, const CustomerId &customer) const;
+    Duration waitBehind(Rank rank, std::size_t ownRankAhead, TimePoint now) const;
+    Duration backlogAhead(Rank rank, std::size_t ownRankAhead) const;
     Duration meanServiceTime(Rank rank) const;
     Duration minServiceTime(Rank rank) const;
     double usedSeconds(Rank rank, TimePoint now) const;
-    bool mayStart(Rank rank, TimePoint now, std::size_t freeConnections) const;
+    bool mayStart(Rank rank, TimePoint now, const FreeConnections &connections) const;
     bool leavesSlotFor(Rank urgent, TimePoint now) const;
-    std::optional<Rank> pickRank(TimePoint now, std::size_t freeConnections) const;
-    bool isEligible(const CustomerKey &key, const CustomerQueue &queue, std::size_t freeConnections) const;
-    std::optional<CustomerKey> nextCustomer(Rank rank, std::size_t freeConnections) const;
+    std::optional<Rank> pickRank(TimePoint now, const FreeConnections &connections) const;
+    bool isEligible(const CustomerKey &key, const CustomerQueue &queue, const FreeConnections &connections) const;
+    const CustomerKey *nextCustomer(Rank rank, const FreeConnections &connections) const;
     QueuedWork takeNext(Rank rank, const CustomerKey &customer);
     void remove(RankState &state, WorkId id);
     double availableShare(Rank rank, TimePoint now) const;
+    std::optional<TimePoint> lateUntil(const QueuedWork &work, TimePoint now) const;
     std::optional<TimePoint> fullUntil(const QueuedWork &work, TimePoint now) const;
     bool makeRoom(const QueuedWork &work, TimePoint now);
     void refuseLate(TimePoint now, std::vector<QueueDecision> &decisions);
     void refuseHopeless(Rank rank, TimePoint now, std::vector<QueueDecision> &decisions);
+    bool refuseHopelessOf(Rank rank,
+                          const CustomerBacklog &customer,
+                          const std::vector<std::size_t> &sortedBacklogs,
+                          TimePoint now,
+                          std::vector<QueueDecision> &decisions);
 
     QueueLimits m_limits;
     PerRank<RankState> m_ranks;
--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -50,6 +50,15 @@
     auto operator<=>(const GroupHomeLimits &) const = default;
 };
 
+/// Counts of a home's connections to members since its start.
+struct ConnectionCounters {
+    std::uint64_t opened = 0;
+    /// Closed while idle to make room for another workspace.
+    std::uint64_t closedForRoom = 0;
+    /// Refused because the member accepted no more.
+    std::uint64_t refusedAsOverloaded = 0;
+};
+
 /// The home of one service: its members' queues and connections, the watermark of its commits, the lease on its primary
 /// and the change of primary. Every request gets exactly one reply, and an error in it states correctly whether the
 /// statement may have run.
@@ -121,6 +130,10 @@
     }
     /// Number of connections to members, those being opened included.
     std::size_t connections() const;
+    const ConnectionCounters &connectionCounters() const
+    {
+        return m_connectionCounters;
+    }
 
 private:
     /// Whether a member can be reached, as the latest attempts have shown.
@@ -159,12 +172,26 @@
         /// Number of this home's connections when the member refused another one; limits them until `cappedUntil`.
         std::size_t connectionCap = 0;
         TimePoint cappedUntil = distantPast;
+        /// Connections of workspaces that the member refused in a row as overloaded, without those opened at the same time.
+        std::uint32_t overloads = 0;
+        TimePoint lastOverloadAt = distantPast;
 
         double recentFailuresAt(TimePoint now) const
         {
             return recentFailures == 0 ? 0 : recentFailures * std::exp2(-std::chrono::duration<double>(now - lastFailedAt).count());
         }
     };
+    /// How many connections to a member each workspace may hold for transactions, and how many it holds.
+    struct ConnectionShares {
+        std::size_t share = 0;
+        std::map<WorkspaceName, std::size_t> held;
+
+        bool mayHoldAnother(const WorkspaceName &workspace) const
+        {
+            const auto found = held.find(workspace);
+            return found == held.end() || found->second < share;
+        }
+    };
     /// A request on its way to a member.
     struct Work {
         HomeRequest request;
@@ -173,8 +200,6 @@
         std::uint32_t attempts = 0;
         /// Whether the statement itself was sent; the commands that prepare the connection do not count.
         bool isSent = false;
-        /// Whether it was given to a connection.
-        bool isAssigned = false;
         std::string preparedName;
         /// Position that a replica must have applied before it runs the read.
         std::optional<LogPosition> after;
@@ -188,6 +213,7 @@
         MemberId member;
         ConnectionNumber connection = 0;
         std::uint64_t generation = 0;
+        WorkspaceName workspace;
         /// Whether a statement of it is under way.
         bool isBusy = false;
         TimePoint lastUsed{};
@@ -262,7 +288,10 @@
     void enqueue(WorkNumber number, const MemberId &member, bool isPinned, TimePoint now);
     void enqueueAtPrimary(WorkNumber number, TimePoint now);
     void startQueuedWork(Member &member, TimePoint now);
+    bool advanceQueue(Member &member, std::size_t freeConnections, const ConnectionTest &isConnectionFree, TimePoint now);
+    void startWorkspaceWork(Member &member, TimePoint now);
     void startWork(Member &member, WorkNumber number, TimePoint now);
+    void sendWork(Member &member, MemberConnection &connection, WorkNumber number, TimePoint now);
     void retry(WorkNumber number, StatementError error, const std::string &reason, TimePoint now);
     void finish(WorkNumber number, const HomeReply &reply, TimePoint now);
     /// `retryAt`: when the client may expect to be served; in the past if that is not known.
@@ -273,7 +302,13 @@
     // Members and their connections
     Member *memberOf(ConnectionNumber connection);
     MemberConnection *connectionOf(ConnectionNumber connection, Member **member);
-    void openConnection(Member &member, TimePoint now);
+    MemberConnection &openConnection(Member &member, const WorkspaceName &workspace, TimePoint now);
+    MemberConnection *openForWork(Member &member, const WorkspaceName &workspace, TimePoint now);
+    bool servesWorkspaces(const Member &member, TimePoint now) const;
+    bool mayOpenForWork(const Member &member, TimePoint now) const;
+    double openingCost(const Member &member, const WorkspaceName &workspace, TimePoint now) const;
+    ConnectionShares connectionShares(const Member &member, TimePoint now) const;
+    void reportClosedForRoom(const Member &member, TimePoint now);
     std::size_t connectionLimit(const Member &member, TimePoint now) const;
     void sendNext(Member &member, MemberConnection &connection, TimePoint now);
     void recordPreparation(MemberConnection &connection, const MemberCommand &command);
@@ -360,6 +395,11 @@
     std::map<ConnectionNumber, MemberId> m_connectionOwners;
     ConnectionNumber m_lastConnectionNumber = 0;
     WorkNumber m_lastWorkNumber = 0;
+    /// The latest deadline of requests of workspaces.
+    TimePoint m_workspacesUntil = distantPast;
+    ConnectionCounters m_connectionCounters;
+    TimePoint m_closedForRoomReportedAt = distantPast;
+    std::uint64_t m_closedForRoomReported = 0;
     std::map<WorkNumber, Work> m_work;
     /// Work that waits for a usable primary, or for a replica that is fresh enough.
     std::deque<WorkNumber> m_held;
--- a/decisions/include/rattanbeam/decisions/session/memberconnections.h
+++ b/decisions/include/rattanbeam/decisions/session/memberconnections.h
@@ -18,6 +18,8 @@
 /// One connection to a member: the session state that the member keeps for it, and its pending commands.
 struct MemberConnection {
     ConnectionNumber number = 0;
+    /// Only statements of this workspace run on the connection; empty for callers that are not identified.
+    WorkspaceName workspace;
     bool isOpen = false;
     SessionValues values;
     std::set<std::string> preparedNames;
@@ -27,10 +29,12 @@
     std::deque<MemberCommand> commands;
     /// Whether the first command has been sent.
     bool isAwaitingAnswer = false;
-    /// The request whose statement is among the commands.
+    /// The request whose statement is among the commands, or will be when the connection is open.
     std::optional<WorkNumber> work;
     TimePoint sentAt = distantPast;
     TimePoint idleSince = distantPast;
+    /// When the connection opened or was last given a statement; maintenance commands do not count.
+    TimePoint usedAt = distantPast;
     TimePoint connectStartedAt = distantPast;
     TimePoint openedAt = distantPast;
     /// Whether the member went silent while it owed an answer on this connection; the answer may still come.
@@ -61,15 +65,20 @@
 class MemberConnections
 {
 public:
-    MemberConnection &add(ConnectionNumber number, TimePoint now);
+    MemberConnection &add(ConnectionNumber number, const WorkspaceName &workspace, TimePoint now);
     void remove(ConnectionNumber number)
     {
         m_connections.erase(number);
     }
     /// The connection, or null if it is unknown.
     MemberConnection *find(ConnectionNumber number);
-    /// The idle connection that needs the fewest commands to get `values` and `preparedName`; null if no connection is idle.
-    MemberConnection *bestIdle(const SessionValues &values, const std::string &preparedName);
+    /// The idle connection of the workspace that needs the fewest commands to get `values` and `preparedName`; null if none is idle.
+    MemberConnection *bestIdle(const WorkspaceName &workspace, const SessionValues &values, const std::string &preparedName);
+    /// The idle connection that has been without a statement for the longest time; null if none is idle.
+    const MemberConnection *leastRecentlyUsedIdle() const;
+    bool hasIdle(const WorkspaceName &workspace) const;
+    /// Whether a connection belongs to a workspace.
+    bool hasWorkspaces() const;
     std::size_t idleCount() const;
     std::size_t openingCount() const;
     std::size_t pinnedCount() const;
@@ -81,6 +90,10 @@
     {
         return m_connections;
     }
+    const std::map<ConnectionNumber, MemberConnection> &all() const
+    {
+        return m_connections;
+    }
 
 private:
     std::map<ConnectionNumber, MemberConnection> m_connections;
--- a/decisions/src/rankqueue.cpp
+++ b/decisions/src/rankqueue.cpp
@@ -46,26 +46,95 @@
 {
     RankState &state = m_ranks[work.rank];
     state.lastOffered = now;
-    const auto roomAt = fullUntil(work, now);
+    const auto inTimeAt = lateUntil(work, now);
+    // Work of another customer that is displaced would not have gone first, so that it would not shorten the wait.
+    if (inTimeAt && (isAnotherWaiting(work) || !makeRoom(work, now))) {
+        return Outcome::refusal(ErrorCode::QueueFull, *inTimeAt);
+    }
+    const auto roomAt = inTimeAt ? std::nullopt : fullUntil(work, now);
     if (roomAt && !makeRoom(work, now)) {
         return Outcome::refusal(ErrorCode::QueueFull, *roomAt);
     }
     if (work.deadline < now + minServiceTime(work.rank)) {
         return Outcome::refusal(ErrorCode::DeadlineUnreachable);
     }
+    insertWaiting(work);
+    return std::nullopt;
+}
+
+void RankQueue::insertWaiting(const QueuedWork &work)
+{
+    RankState &state = m_ranks[work.rank];
     state.waiting[work.id] = work;
     state.byDeadline.insert({work.deadline, work.id});
-    CustomerQueue &queue = state.customers[{work.customer, work.isPinned}];
+    const CustomerKey key = keyOf(work);
+    const auto [at, isNew] = state.customers.try_emplace(key);
+    CustomerQueue &queue = at->second;
+    const auto sibling = isNew ? state.customers.find(siblingOf(key)) : state.customers.end();
+    if (sibling != state.customers.end()) {
+        queue.finishTag = sibling->second.finishTag;
+    }
     queue.connectionLimit = work.connectionLimit;
     queue.byDeadline.insert({work.deadline, work.id});
-    return std::nullopt;
 }
 
-/// If the queue is full for the work, when it would have room. Work that need not wait is never refused for its objective, and work that
-/// could not meet its objective even so may wait until its deadline.
-std::optional<TimePoint> RankQueue::fullUntil(const QueuedWork &work, TimePoint now) const
+std::vector<RankQueue::CustomerBacklog> RankQueue::customerBacklogs(Rank rank) const
+{
+    std::vector<CustomerBacklog> backlogs;
+    for (const auto &[key, queue] : m_ranks[rank].customers) {
+        if (queue.byDeadline.empty()) {
+            continue;
+        }
+        if (backlogs.empty() || backlogs.back().customer != key.customer) {
+            backlogs.push_back({key.customer, 0});
+        }
+        backlogs.back().waiting += queue.byDeadline.size();
+    }
+    return backlogs;
+}
+
+bool RankQueue::isAnotherWaiting(const QueuedWork &work) const
 {
-    const Duration wait = expectedWait(work.rank, now);
+    const auto &customers = m_ranks[work.rank].customers;
+    return std::any_of(customers.begin(), customers.end(), [&](const auto &entry) {
+        return entry.first.customer != work.customer && !entry.second.byDeadline.empty();
+    });
+}
+
+std::set<CustomerId> RankQueue::waitingCustomers() const
+{
+    std::set<CustomerId> customers;
+    for (const Rank rank : allRanks) {
+        for (const auto &[key, queue] : m_ranks[rank].customers) {
+            if (!key.isPinned && !queue.byDeadline.empty()) {
+                customers.insert(key.customer);
+            }
+        }
+    }
+    return customers;
+}
+
+/// Number of statements of the rank that start before a new one of the customer. The customers take turns, so that the backlog of
+/// another customer delays the new statement by at most as many statements as the customer has itself.
+std::size_t RankQueue::waitingAhead(Rank rank, const CustomerId &customer) const
+{
+    const std::vector<CustomerBacklog> backlogs = customerBacklogs(rank);
+    const auto own = std::find_if(backlogs.begin(), backlogs.end(), [&](const CustomerBacklog &each) {
+        return each.customer == customer;
+    });
+    const std::size_t ownWaiting = own == backlogs.end() ? 0 : own->waiting;
+    std::size_t ahead = ownWaiting;
+    for (const CustomerBacklog &each : backlogs) {
+        ahead += each.customer == customer ? 0 : std::min(each.waiting, ownWaiting + 1);
+    }
+    return ahead;
+}
+
+/// When the work could meet its objective, if that is not expected now. Work that need not wait is never refused for its objective, and
+/// work that could not meet its objective even so may wait until its deadline.
+std::optional<TimePoint> RankQueue::lateUntil(const QueuedWork &work, TimePoint now) const
+{
+    const Duration wait = waitBehind(work.rank, waitingAhead(work.rank, work.customer), now);
     if (work.wantedBy != TimePoint::max() && wait > Duration::zero()) {
         const Duration serviceTime = meanServiceTime(work.rank);
         const TimePoint wantedBy = now + serviceTime <= work.wantedBy ? work.wantedBy : work.deadline;
@@ -74,6 +143,12 @@
             return now + (wait + serviceTime - mostTime);
         }
     }
+    return std::nullopt;
+}
+
+/// When the queue has room for the work, if it has none now.
+std::optional<TimePoint> RankQueue::fullUntil(const QueuedWork &work, TimePoint now) const
+{
     const Duration maxWait = m_limits.maxExpectedWait[work.rank];
     const TimePoint start = expectedStart(work.rank, now);
     if (m_ranks[work.rank].waiting.size() >= m_limits.capacity || (maxWait > Duration::zero() && start > now + maxWait)) {
@@ -88,7 +163,7 @@
     const auto longestQueue = std::max_element(state.customers.begin(), state.customers.end(), [](const auto &left, const auto &right) {
         return left.second.byDeadline.size() < right.second.byDeadline.size();
     });
-    const auto ownQueue = state.customers.find({work.customer, work.isPinned});
+    const auto ownQueue = state.customers.find(keyOf(work));
     const std::size_t ownWaiting = ownQueue == state.customers.end() ? 0 : ownQueue->second.byDeadline.size();
     if (longestQueue == state.customers.end() || longestQueue->second.byDeadline.size() <= ownWaiting + 1) {
         return false;
@@ -99,21 +174,22 @@
     return true;
 }
 
-std::vector<QueueDecision> RankQueue::advance(TimePoint now, std::size_t freeConnections)
+std::vector<QueueDecision> RankQueue::advance(TimePoint now, std::size_t freeConnections, const ConnectionTest &isConnectionFree)
 {
+    FreeConnections connections{freeConnections, isConnectionFree};
     std::vector<QueueDecision> decisions = std::exchange(m_displaced, {});
     refuseLate(now, decisions);
     while (m_running.size() < m_limits.slots) {
-        const auto rank = pickRank(now, freeConnections);
+        const auto rank = pickRank(now, connections);
         if (!rank) {
             break;
         }
-        const CustomerKey customer = nextCustomer(*rank, freeConnections).value();
+        const CustomerKey customer = *nextCustomer(*rank, connections);
         const QueuedWork work = takeNext(*rank, customer);
-        m_running[work.id] = {*rank, customer, now};
+        m_running[work.id] = {work, now};
         ++m_ranks[*rank].running;
         if (!work.isPinned) {
-            --freeConnections;
+            --connections.count;
             holdConnection(work.customer);
         }
         decisions.push_back({work.id, Outcome{}});
@@ -134,7 +210,7 @@
     if (found == m_running.end()) {
         return;
     }
-    RankState &state = m_ranks[found->second.rank];
+    RankState &state = m_ranks[found->second.work.rank];
     const double seconds = secondsBetween(found->second.startedAt, now);
     state.meanServiceSeconds
         = state.meanServiceSeconds == 0 ? seconds : state.meanServiceSeconds + serviceSmoothing * (seconds - state.meanServiceSeconds);
@@ -147,15 +223,26 @@
     if (found == m_running.end()) {
         return;
     }
-    RankState &state = m_ranks[found->second.rank];
+    RankState &state = m_ranks[found->second.work.rank];
     state.usedTime.add(secondsBetween(found->second.startedAt, now), now);
     --state.running;
-    if (!found->second.customer.isPinned) {
-        releaseConnection(found->second.customer.customer);
+    if (!found->second.work.isPinned) {
+        releaseConnection(found->second.work.customer);
     }
     m_running.erase(found);
 }
 
+void RankQueue::requeue(WorkId id, TimePoint now)
+{
+    const auto found = m_running.find(id);
+    if (found == m_running.end()) {
+        return;
+    }
+    const QueuedWork work = found->second.work;
+    abandoned(id, now);
+    insertWaiting(work);
+}
+
 void RankQueue::holdConnection(const CustomerId &customer)
 {
     ++m_heldConnections[customer];
@@ -206,11 +293,16 @@
 }
 
 Duration RankQueue::expectedWait(Rank rank, TimePoint now) const
+{
+    return waitBehind(rank, m_ranks[rank].waiting.size(), now);
+}
+
+/// Expected wait of work with `ownRankAhead` statements of its own rank ahead.
+Duration RankQueue::waitBehind(Rank rank, std::size_t ownRankAhead, TimePoint now) const
 {
     const double slots = static_cast<double>(std::max<std::size_t>(1, m_limits.slots));
-    const double ownBacklog
-        = std::chrono::duration<double>(meanServiceTime(rank)).count() * static_cast<double>(m_ranks[rank].waiting.size());
-    return std::max(backlogAhead(rank), fromSeconds(ownBacklog / (slots * availableShare(rank, now))));
+    const double ownBacklog = std::chrono::duration<double>(meanServiceTime(rank)).count() * static_cast<double>(ownRankAhead);
+    return std::max(backlogAhead(rank, ownRankAhead), fromSeconds(ownBacklog / (slots * availableShare(rank, now))));
 }
 
 /// Share of the slots' time that is left for the rank: what more urgent ranks have not used recently, and what is not guaranteed to
@@ -231,13 +323,14 @@
     return std::clamp(share, std::max(minShare, m_limits.weights[rank] / 100.0), 1.0);
 }
 
-/// Time that the slots need for the waiting work of this and all more urgent ranks.
-Duration RankQueue::backlogAhead(Rank rank) const
+/// Time that the slots need for the waiting work of all more urgent ranks and `ownRankAhead` statements of this one.
+Duration RankQueue::backlogAhead(Rank rank, std::size_t ownRankAhead) const
 {
     double seconds = 0;
     for (const Rank each : allRanks) {
         if (each <= rank) {
-            seconds += std::chrono::duration<double>(meanServiceTime(each)).count() * static_cast<double>(m_ranks[each].waiting.size());
+            const std::size_t ahead = each == rank ? ownRankAhead : m_ranks[each].waiting.size();
+            seconds += std::chrono::duration<double>(meanServiceTime(each)).count() * static_cast<double>(ahead);
         }
     }
     return fromSeconds(seconds / static_cast<double>(std::max<std::size_t>(1, m_limits.slots)));
@@ -253,24 +346,28 @@
 {
     double seconds = m_ranks[rank].usedTime.valueAt(now);
     for (const auto &[id, running] : m_running) {
-        if (running.rank == rank) {
+        if (running.work.rank == rank) {
             seconds += secondsBetween(running.startedAt, now);
         }
     }
     return seconds;
 }
 
-bool RankQueue::isEligible(const CustomerKey &key, const CustomerQueue &queue, std::size_t freeConnections) const
+bool RankQueue::isEligible(const CustomerKey &key, const CustomerQueue &queue, const FreeConnections &connections) const
 {
     if (queue.byDeadline.empty()) {
         return false;
     }
-    return key.isPinned || (!m_isPaused && freeConnections > 0 && heldConnections(key.customer) < queue.connectionLimit);
+    if (key.isPinned) {
+        return true;
+    }
+    return !m_isPaused && connections.count > 0 && heldConnections(key.customer) < queue.connectionLimit
+           && (!connections.isFreeFor || connections.isFreeFor(key.customer, key.opensTransaction));
 }
 
-bool RankQueue::mayStart(Rank rank, TimePoint now, std::size_t freeConnections) const
+bool RankQueue::mayStart(Rank rank, TimePoint now, const FreeConnections &connections) const
 {
-    if (!nextCustomer(rank, freeConnections)) {
+    if (nextCustomer(rank, connections) == nullptr) {
         return false;
     }
     if (meanServiceTime(rank) <= m_limits.longWorkThreshold || m_limits.slots == 1) {
@@ -294,11 +391,11 @@
     return runningBelow + 1 < m_limits.slots;
 }
 
-std::optional<Rank> RankQueue::pickRank(TimePoint now, std::size_t freeConnections) const
+std::optional<Rank> RankQueue::pickRank(TimePoint now, const FreeConnections &connections) const
 {
     std::optional<Rank> mostUrgent;
     for (const Rank rank : allRanks) {
-        if (!mayStart(rank, now, freeConnections)) {
+        if (!mayStart(rank, now, connections)) {
             continue;
         }
         if (recentShare(rank, now) < m_limits.weights[rank] / 100.0) {
@@ -309,15 +406,16 @@
     return mostUrgent;
 }
 
-std::optional<RankQueue::CustomerKey> RankQueue::nextCustomer(Rank rank, std::size_t freeConnections) const
+/// The customer whose work starts next; null if none may start.
+const RankQueue::CustomerKey *RankQueue::nextCustomer(Rank rank, const FreeConnections &connections) const
 {
     const RankState &state = m_ranks[rank];
-    std::optional<CustomerKey> next;
+    const CustomerKey *next = nullptr;
     double minStartTag = 0;
     for (const auto &[key, queue] : state.customers) {
         const double startTag = std::max(state.virtualTime, queue.finishTag);
-        if (isEligible(key, queue, freeConnections) && (!next || startTag < minStartTag)) {
-            next = key;
+        if ((next == nullptr || startTag < minStartTag) && isEligible(key, queue, connections)) {
+            next = &key;
             minStartTag = startTag;
         }
     }
@@ -331,6 +429,10 @@
     CustomerQueue &queue = state.customers.at(customer);
     state.virtualTime = std::max(state.virtualTime, queue.finishTag);
     queue.finishTag = state.virtualTime + std::max(minServiceSeconds, std::chrono::duration<double>(meanServiceTime(rank)).count());
+    const auto sibling = state.customers.find(siblingOf(customer));
+    if (sibling != state.customers.end()) {
+        sibling->second.finishTag = queue.finishTag;
+    }
     QueuedWork work = state.waiting.at(queue.byDeadline.begin()->id);
     remove(state, work.id);
     return work;
@@ -340,7 +442,7 @@
 {
     const QueuedWork work = state.waiting.at(id);
     state.byDeadline.erase({work.deadline, id});
-    const CustomerKey key{work.customer, work.isPinned};
+    const CustomerKey key = keyOf(work);
     CustomerQueue &queue = state.customers.at(key);
     queue.byDeadline.erase({work.deadline, id});
     if (queue.byDeadline.empty() && (queue.finishTag <= state.virtualTime || state.customers.size() > maxKeptCustomers)) {
@@ -368,6 +470,27 @@
 void RankQueue::refuseHopeless(Rank rank, TimePoint now, std::vector<QueueDecision> &decisions)
 {
     RankState &state = m_ranks[rank];
+    if (state.byDeadline.empty() || now + expectedWait(rank, now) <= state.byDeadline.begin()->deadline) {
+        return;
+    }
+    const std::vector<CustomerBacklog> backlogs = customerBacklogs(rank);
+    if (backlogs.size() > 1) {
+        std::vector<std::size_t> sortedBacklogs;
+        const auto sortBacklogs = [&] {
+            sortedBacklogs.clear();
+            for (const CustomerBacklog &each : customerBacklogs(rank)) {
+                sortedBacklogs.push_back(each.waiting);
+            }
+            std::sort(sortedBacklogs.begin(), sortedBacklogs.end());
+        };
+        sortBacklogs();
+        for (const CustomerBacklog &customer : backlogs) {
+            if (refuseHopelessOf(rank, customer, sortedBacklogs, now, decisions)) {
+                sortBacklogs();
+            }
+        }
+        return;
+    }
     while (!state.byDeadline.empty()) {
         const WorkId id = state.byDeadline.rbegin()->id;
         const QueuedWork &newest = state.waiting.at(id);
@@ -380,4 +503,42 @@
     }
 }
 
+/// The same for the customer's unpinned work alone, where other customers wait too: they take turns, so that each of them starts at most
+/// as many statements before the customer's last one as the customer itself. Returns whether work was refused.
+bool RankQueue::refuseHopelessOf(Rank rank,
+                                 const CustomerBacklog &customer,
+                                 const std::vector<std::size_t> &sortedBacklogs,
+                                 TimePoint now,
+                                 std::vector<QueueDecision> &decisions)
+{
+    RankState &state = m_ranks[rank];
+    bool isRefused = false;
+    for (std::size_t own = customer.waiting; own > 0; --own) {
+        std::optional<WaitingKey> newest;
+        for (const bool opensTransaction : {false, true}) {
+            const auto queue = state.customers.find({customer.customer, false, opensTransaction});
+            if (queue != state.customers.end() && !queue->second.byDeadline.empty()) {
+                newest = std::max(newest, std::optional(*queue->second.byDeadline.rbegin()));
+            }
+        }
+        if (!newest || state.waiting.at(newest->id).wantedBy == TimePoint::max()) {
+            return isRefused;
+        }
+        std::size_t ahead = 0;
+        auto larger = sortedBacklogs.begin();
+        for (; larger != sortedBacklogs.end() && *larger < own; ++larger) {
+            ahead += *larger;
+        }
+        ahead += own * static_cast<std::size_t>(sortedBacklogs.end() - larger);
+        const TimePoint expectedEnd = now + waitBehind(rank, ahead, now);
+        if (expectedEnd <= newest->deadline) {
+            return isRefused;
+        }
+        remove(state, newest->id);
+        decisions.push_back({newest->id, Outcome::refusal(ErrorCode::QueueFull, expectedEnd)});
+        isRefused = true;
+    }
+    return isRefused;
+}
+
 } // namespace rattanbeam::decisions
--- a/decisions/src/session/grouphome.cpp
+++ b/decisions/src/session/grouphome.cpp
@@ -43,6 +43,9 @@
         m_activeSince = now;
     }
     m_lastRequestAt = now;
+    if (!request.workspace.isEmpty()) {
+        m_workspacesUntil = std::max(m_workspacesUntil, request.deadline);
+    }
     const WorkNumber number = ++m_lastWorkNumber;
     m_work[number].request = request;
     dispatch(number, now);
@@ -70,6 +73,11 @@
         refuse(number, StatementError::Aborted, "transaction-lost", now);
         return;
     }
+    if (found->second.workspace != work.request.workspace) {
+        // The key of the session was given to another workspace. The refusal ends the transaction.
+        refuse(number, StatementError::Aborted, "workspace-changed", now);
+        return;
+    }
     if (found->second.isBusy) {
         refuse(number, StatementError::Malformed, "statement-under-way", now);
         return;
@@ -150,7 +158,8 @@
             waiting += static_cast<double>(member.queue.waiting(rank));
         }
         const double cost = waiting / std::max(1U, member.record.slots) + (isPrimary ? primaryPenalty : 0)
-                            + (id == work.avoidedMember ? avoidedPenalty : 0) + failurePenalty * member.recentFailuresAt(now);
+                            + (id == work.avoidedMember ? avoidedPenalty : 0) + failurePenalty * member.recentFailuresAt(now)
+                            + openingCost(member, work.request.workspace, now);
         if (best == nullptr || cost < bestCost) {
             best = &member;
             bestCost = cost;
@@ -203,11 +212,12 @@
     QueuedWork queued;
     queued.id = number;
     queued.rank = work.request.rank;
-    queued.customer = CustomerId("sessions");
+    queued.customer = CustomerId(work.request.workspace.text());
     queued.deadline = work.request.deadline;
     queued.wantedBy = isPinned ? TimePoint::max() : work.request.objectiveAt;
     queued.connectionLimit = m_limits.maxConnections;
     queued.isPinned = isPinned;
+    queued.opensTransaction = !isPinned && !work.request.workspace.isEmpty() && work.request.forwarded.opensTransaction;
     if (const auto refusal = member.queue.offer(queued, now)) {
         const bool isFull = refusal->code == ErrorCode::QueueFull;
         refuse(number, StatementError::Busy, isFull ? "queue-full" : "deadline-unreachable", now, refusal->retryAt);
@@ -216,10 +226,12 @@
     startQueuedWork(member, now);
 }
 
-/// Starts what the member's queue allows, and opens a connection if work waits for one.
-void GroupHome::startQueuedWork(Member &member, TimePoint now)
+/// Carries out what the member's queue decides. Returns whether work started.
+bool GroupHome::advanceQueue(Member &member, std::size_t freeConnections, const ConnectionTest &isConnectionFree, TimePoint now)
 {
-    for (const QueueDecision &decision : member.queue.advance(now, member.connections.idleCount())) {
+    bool isStarted = false;
+    for (const QueueDecision &decision : member.queue.advance(now, freeConnections, isConnectionFree)) {
+        isStarted = isStarted || decision.isStart();
         if (!m_work.contains(decision.id)) {
             member.queue.finished(decision.id, now);
         } else if (decision.isStart()) {
@@ -229,33 +241,85 @@
             refuse(decision.id, StatementError::Busy, isFull ? "queue-full" : "deadline-unreachable", now, decision.outcome.retryAt);
         }
     }
+    return isStarted;
+}
+
+/// Starts what the member's queue allows, and opens a connection if work waits for one.
+void GroupHome::startQueuedWork(Member &member, TimePoint now)
+{
+    if (servesWorkspaces(member, now)) {
+        startWorkspaceWork(member, now);
+        return;
+    }
+    advanceQueue(member, member.connections.idleCount(), {}, now);
     std::size_t waiting = 0;
     for (const Rank rank : allRanks) {
         waiting += member.queue.waiting(rank);
     }
     if (waiting > member.connections.openingCount() && member.connections.idleCount() == 0 && now >= member.nextConnectAt
         && member.connections.totalCount() < connectionLimit(member, now)) {
-        openConnection(member, now);
+        openConnection(member, WorkspaceName(), now);
     }
 }
 
-/// Sends the statement on a connection, after the commands that prepare it.
+/// Starts what the member's queue allows. Unlike work of callers that are not identified, work may start while its connection is being
+/// opened: it has a slot meanwhile, and the member uses one to accept the connection.
+void GroupHome::startWorkspaceWork(Member &member, TimePoint now)
+{
+    bool isStarted = true;
+    while (isStarted) {
+        // One statement at a time, since each changes which connections are free.
+        const bool mayOpen = mayOpenForWork(member, now);
+        std::optional<ConnectionShares> shares;
+        const ConnectionTest isConnectionFree = [&](const CustomerId &customer, bool opensTransaction) {
+            const WorkspaceName workspace(customer.text());
+            if (!mayOpen && !member.connections.hasIdle(workspace)) {
+                return false;
+            }
+            if (opensTransaction && !shares) {
+                shares = connectionShares(member, now);
+            }
+            return !opensTransaction || shares->mayHoldAnother(workspace);
+        };
+        isStarted = advanceQueue(member, 1, isConnectionFree, now);
+    }
+}
+
+/// Sends the statement on a connection of its workspace, or opens one for it.
 void GroupHome::startWork(Member &member, WorkNumber number, TimePoint now)
 {
     Work &work = m_work.at(number);
-    const ForwardedStatement &forwarded = work.request.forwarded;
-    MemberConnection *connection = work.connection ? member.connections.find(*work.connection)
-                                                   : member.connections.bestIdle(*work.request.values, work.preparedName);
+    const WorkspaceName &workspace = work.request.workspace;
+    const bool isPinned = work.connection.has_value();
+    MemberConnection *connection = isPinned ? member.connections.find(*work.connection)
+                                            : member.connections.bestIdle(workspace, *work.request.values, work.preparedName);
+    if (connection == nullptr && !isPinned && servesWorkspaces(member, now)) {
+        connection = openForWork(member, workspace, now);
+        if (connection == nullptr) {
+            member.queue.requeue(number, now);
+            return;
+        }
+    }
     if (connection == nullptr) {
         member.queue.finished(number, now);
         workConnectionLost(number, StatementError::Aborted, now);
         return;
     }
     work.connection = connection->number;
-    work.isAssigned = true;
     connection->work = number;
-    const auto preparation = preparationCommands(*connection, *work.request.values, work.preparedName, forwarded.definition);
-    connection->commands.assign(preparation.begin(), preparation.end());
+    if (connection->isOpen) {
+        sendWork(member, *connection, number, now);
+    }
+}
+
+/// Sends the statement on its connection, after the commands that prepare it.
+void GroupHome::sendWork(Member &member, MemberConnection &connection, WorkNumber number, TimePoint now)
+{
+    Work &work = m_work.at(number);
+    const ForwardedStatement &forwarded = work.request.forwarded;
+    connection.usedAt = now;
+    const auto preparation = preparationCommands(connection, *work.request.values, work.preparedName, forwarded.definition);
+    connection.commands.assign(preparation.begin(), preparation.end());
     MemberCommand command;
     command.statement = forwarded.statement;
     command.statement.after.reset();
@@ -266,15 +330,15 @@
         MemberCommand begin;
         begin.statement.kind = forwarded.isReadOnly ? StatementKind::BeginReadOnly : StatementKind::Begin;
         begin.statement.after = work.after;
-        connection->commands.push_back(begin);
+        connection.commands.push_back(begin);
     } else if (work.request.transaction.isNone() && forwarded.isReadOnly) {
         command.statement.after = work.after;
     }
-    connection->commands.push_back(command);
+    connection.commands.push_back(command);
     if (!work.request.transaction.isNone()) {
-        connection->pinnedBy = work.request.transaction;
+        connection.pinnedBy = work.request.transaction;
     }
-    sendNext(member, *connection, now);
+    sendNext(member, connection, now);
 }
 
 void GroupHome::retry(WorkNumber number, StatementError error, const std::string &reason, TimePoint now)
--- a/decisions/src/session/grouphomeanswers.cpp
+++ b/decisions/src/session/grouphomeanswers.cpp
@@ -144,6 +144,7 @@
     transaction.member = member.record.id;
     transaction.connection = connection.number;
     transaction.generation = work.generation;
+    transaction.workspace = connection.workspace;
     transaction.isBusy = true;
     transaction.lastUsed = now;
 }
--- a/decisions/src/session/grouphomeconnections.cpp
+++ b/decisions/src/session/grouphomeconnections.cpp
@@ -18,6 +18,13 @@
 constexpr std::size_t maxInitialSubstituteConnections = 3; // of a substitute, until it has been in use for substituteRampTime
 constexpr Duration substituteRampTime = 400ms; // requests may have come only because the first home was slow for a moment
 constexpr Duration substituteConnectionIdleTimeout = 1500ms;
+// A connection that was closed may count at the member for some milliseconds longer, so that the first retry comes soon.
+constexpr Duration minOverloadBackoff = 20ms;
+constexpr Duration maxOverloadBackoff = 300ms;
+constexpr Duration roomReportInterval = 10s;
+constexpr double openingPenalty = 0.25; // an opening takes a slot for about half the time of a statement
+constexpr double blockedOpeningPenalty = 1; // as if each slot had one more statement waiting
+constexpr Duration sharingWindow = 2s; // a workspace counts as a sharer of a member's connections for this long after its last statement
 
 } // namespace
 
@@ -46,12 +53,99 @@
     return now < member.cappedUntil ? std::min(limit, member.connectionCap) : limit;
 }
 
-void GroupHome::openConnection(Member &member, TimePoint now)
+MemberConnection &GroupHome::openConnection(Member &member, const WorkspaceName &workspace, TimePoint now)
 {
     const ConnectionNumber number = ++m_lastConnectionNumber;
-    member.connections.add(number, now);
+    MemberConnection &connection = member.connections.add(number, workspace, now);
     m_connectionOwners[number] = member.record.id;
-    m_effects.openConnection(number, member.record, WorkspaceName());
+    ++m_connectionCounters.opened;
+    m_effects.openConnection(number, member.record, workspace);
+    return connection;
+}
+
+/// Whether requests of workspaces have come recently. Otherwise all connections and all work belong to callers that are not identified.
+bool GroupHome::servesWorkspaces(const Member &member, TimePoint now) const
+{
+    return now <= m_workspacesUntil + m_limits.connectionIdleTimeout || member.connections.hasWorkspaces();
+}
+
+/// Whether a connection may be opened, if need be in place of an idle one. After a refusal for overload one at a time is tried.
+bool GroupHome::mayOpenForWork(const Member &member, TimePoint now) const
+{
+    if (now < member.nextConnectAt || (member.overloads > 0 && member.connections.openingCount() > 0)) {
+        return false;
+    }
+    return member.connections.totalCount() < connectionLimit(member, now) || member.connections.idleCount() > 0;
+}
+
+/// Opens a connection of the workspace, at the limit in place of the idle one whose last statement is the longest ago. Returns null if
+/// none may be opened.
+MemberConnection *GroupHome::openForWork(Member &member, const WorkspaceName &workspace, TimePoint now)
+{
+    if (!mayOpenForWork(member, now)) {
+        return nullptr;
+    }
+    if (member.connections.totalCount() >= connectionLimit(member, now)) {
+        const MemberConnection *replaced = member.connections.leastRecentlyUsedIdle();
+        if (replaced == nullptr) {
+            return nullptr;
+        }
+        ++m_connectionCounters.closedForRoom;
+        dropConnection(member, replaced->number, false, StatementError::InDoubt, now);
+        reportClosedForRoom(member, now);
+    }
+    return &openConnection(member, workspace, now);
+}
+
+void GroupHome::reportClosedForRoom(const Member &member, TimePoint now)
+{
+    if (now - m_closedForRoomReportedAt < roomReportInterval) {
+        return;
+    }
+    m_effects.report({"connections-closed-for-room",
+                      false,
+                      {{"service", m_service.text()},
+                       {"member", member.record.id.text()},
+                       {"count", std::to_string(m_connectionCounters.closedForRoom - m_closedForRoomReported)},
+                       {"connections", std::to_string(member.connections.totalCount())}}});
+    m_closedForRoomReportedAt = now;
+    m_closedForRoomReported = m_connectionCounters.closedForRoom;
+}
+
+/// Cost of a read at the member for the time that opening a connection takes, in the unit of dispatchRead(). It also keeps the reads of a
+/// workspace at few members, so that these need few connections each.
+double GroupHome::openingCost(const Member &member, const WorkspaceName &workspace, TimePoint now) const
+{
+    if (!servesWorkspaces(member, now) || member.connections.hasIdle(workspace)) {
+        return 0;
+    }
+    return mayOpenForWork(member, now) ? openingPenalty : blockedOpeningPenalty;
+}
+
+/// While there are connections for all that the member runs at once, workspaces hold as many as they like. The last ones are left to
+/// workspaces that hold less than an equal share, if several use or wait for connections.
+GroupHome::ConnectionShares GroupHome::connectionShares(const Member &member, TimePoint now) const
+{
+    ConnectionShares shares;
+    const std::size_t limit = connectionLimit(member, now);
+    const std::size_t total = member.connections.totalCount();
+    const std::size_t spare = member.connections.idleCount() + (limit > total ? limit - total : 0);
+    if (spare > std::max(1U, member.record.slots)) {
+        shares.share = limit;
+        return shares;
+    }
+    std::set<CustomerId> sharers = member.queue.waitingCustomers();
+    for (const auto &[number, connection] : member.connections.all()) {
+        const bool isInUse = connection.work || connection.pinnedBy;
+        if (isInUse || now - connection.usedAt < sharingWindow) {
+            sharers.insert(CustomerId(connection.workspace.text()));
+        }
+        if (isInUse) {
+            ++shares.held[connection.workspace];
+        }
+    }
+    shares.share = std::max<std::size_t>(1, limit / std::max<std::size_t>(1, sharers.size()));
+    return shares;
 }
 
 void GroupHome::connectionOpened(ConnectionNumber number, TimePoint now)
@@ -65,10 +159,17 @@
     connection->isOpen = true;
     connection->openedAt = now;
     connection->idleSince = now;
+    connection->usedAt = now;
     member->lastHeardAt = now;
     member->backoff = {};
+    member->overloads = 0;
     memberReached(*member);
     member->peerAnswers.reset();
+    if (connection->work && m_work.contains(*connection->work)) {
+        sendWork(*member, *connection, *connection->work, now);
+    } else if (connection->work) {
+        member->queue.abandoned(*std::exchange(connection->work, std::nullopt), now);
+    }
     startQueuedWork(*member, now);
     if (member->health == Health::Up && now - member->statusAskedAt >= m_limits.statusInterval) {
         askStatus(*member, now);
@@ -93,23 +194,49 @@
         return;
     }
     const bool wasOpen = connection->isOpen;
+    const TimePoint connectStartedAt = connection->connectStartedAt;
+    if (!wasOpen && connection->work) {
+        const WorkNumber work = *std::exchange(connection->work, std::nullopt);
+        const auto found = m_work.find(work);
+        if (found != m_work.end()) {
+            found->second.connection.reset();
+            member->queue.requeue(work, now);
+        } else {
+            member->queue.abandoned(work, now);
+        }
+    }
+    const bool isOfWorkspace = !connection->workspace.isEmpty();
     dropConnection(*member, number, true, StatementError::InDoubt, now);
     if (failure == ConnectFailure::Overloaded) {
+        ++m_connectionCounters.refusedAsOverloaded;
         // Other homes hold the rest of the member's connections.
         member->connectionCap = std::max<std::size_t>(1, member->connections.totalCount());
         member->cappedUntil = now + connectionCapLifetime;
-        member->nextConnectAt = now + 300ms;
+        if (!isOfWorkspace) {
+            member->nextConnectAt = now + maxOverloadBackoff;
+        } else if (connectStartedAt >= member->lastOverloadAt) {
+            const Duration backoff = minOverloadBackoff * (1U << std::min(member->overloads, 4U));
+            ++member->overloads;
+            member->lastOverloadAt = now;
+            member->nextConnectAt = now + std::min(backoff, maxOverloadBackoff);
+        }
+        if (servesWorkspaces(*member, now)) {
+            startQueuedWork(*member, now);
+        }
         return;
     }
     if (wasOpen && failure == ConnectFailure::Lost) {
         if (member->connections.totalCount() == 0) {
             member->nextConnectAt = now;
-            openConnection(*member, now);
+            openConnection(*member, WorkspaceName(), now);
         }
         return;
     }
-    member->backoff = std::clamp<Duration>(member->backoff * 2, minBackoff, maxBackoff);
-    member->nextConnectAt = now + member->backoff;
+    const bool isFirstOfSeveral = !isOfWorkspace || now >= member->nextConnectAt;
+    if (isFirstOfSeveral) {
+        member->backoff = std::clamp<Duration>(member->backoff * 2, minBackoff, maxBackoff);
+        member->nextConnectAt = now + member->backoff;
+    }
     const bool isConclusive = failure != ConnectFailure::TimedOut || now - member->lastHeardAt > m_limits.silenceTimeout;
     if (isConclusive && member->health != Health::Down) {
         member->health = Health::Down;
@@ -289,7 +416,7 @@
     }
     const std::size_t spareConnections = member.connections.totalCount() < m_limits.maxConnections - 1 ? 1 : 0;
     if (member.connections.openingCount() == 0 && spareConnections > 0 && now >= member.nextConnectAt) {
-        openConnection(member, now);
+        openConnection(member, WorkspaceName(), now);
     }
     return false;
 }
@@ -298,10 +425,11 @@
 void GroupHome::maintainConnections(Member &member, TimePoint now)
 {
     const bool isKeptWarm = member.isRegistered && m_isFirstHome;
-    const std::size_t minConnections = isKeptWarm ? warmConnections : 1;
+    // Which workspace sends next is not known, so that only maintenance commands gain from a connection that is opened in advance.
+    const std::size_t minConnections = isKeptWarm && !servesWorkspaces(member, now) ? warmConnections : 1;
     if (member.connections.totalCount() < minConnections && member.connections.openingCount() == 0 && now >= member.nextConnectAt
         && (isKeptWarm || !m_work.empty() || !m_transactions.empty())) {
-        openConnection(member, now);
+        openConnection(member, WorkspaceName(), now);
     }
     const Duration idleLimit = m_isFirstHome ? m_limits.connectionIdleTimeout : substituteConnectionIdleTimeout;
     std::vector<ConnectionNumber> unused;
--- a/decisions/src/session/grouphomemembers.cpp
+++ b/decisions/src/session/grouphomemembers.cpp
@@ -119,7 +119,7 @@
             member.health = Health::Unknown;
             setMemberSilent(member, now);
             member.nextConnectAt = now;
-            openConnection(member, now);
+            openConnection(member, WorkspaceName(), now);
             if (id == m_primary && m_change.stage == ChangeStage::None) {
                 askPeersEarly(member, now);
             }
@@ -166,7 +166,11 @@
         }
         const bool isStarted = member != m_members.end() && work.connection && member->second.connections.find(*work.connection) != nullptr
                                && member->second.connections.find(*work.connection)->work == number;
-        if (isStarted) {
+        MemberConnection *connection = isStarted ? member->second.connections.find(*work.connection) : nullptr;
+        if (connection != nullptr && !connection->isOpen) {
+            connection->work.reset();
+            member->second.queue.abandoned(number, now);
+        } else if (isStarted) {
             dropConnection(member->second, *work.connection, false, StatementError::InDoubt, now);
         } else if (member != m_members.end()) {
             member->second.queue.cancel(number);
--- a/decisions/src/session/memberconnections.cpp
+++ b/decisions/src/session/memberconnections.cpp
@@ -53,10 +53,11 @@
     return m_names.emplace(definition, "p" + std::to_string(m_names.size() + 1)).first->second;
 }
 
-MemberConnection &MemberConnections::add(ConnectionNumber number, TimePoint now)
+MemberConnection &MemberConnections::add(ConnectionNumber number, const WorkspaceName &workspace, TimePoint now)
 {
     MemberConnection &connection = m_connections[number];
     connection.number = number;
+    connection.workspace = workspace;
     connection.connectStartedAt = now;
     return connection;
 }
@@ -67,12 +68,12 @@
     return found == m_connections.end() ? nullptr : &found->second;
 }
 
-MemberConnection *MemberConnections::bestIdle(const SessionValues &values, const std::string &preparedName)
+MemberConnection *MemberConnections::bestIdle(const WorkspaceName &workspace, const SessionValues &values, const std::string &preparedName)
 {
     MemberConnection *best = nullptr;
     std::size_t minCommandCount = 0;
     for (auto &[number, connection] : m_connections) {
-        if (!connection.isIdle()) {
+        if (!connection.isIdle() || connection.workspace != workspace) {
             continue;
         }
         const std::size_t commandCount = preparationCommands(connection, values, preparedName, preparedName).size();
@@ -84,6 +85,31 @@
     return best;
 }
 
+const MemberConnection *MemberConnections::leastRecentlyUsedIdle() const
+{
+    const MemberConnection *oldest = nullptr;
+    for (const auto &[number, connection] : m_connections) {
+        if (connection.isIdle() && (oldest == nullptr || connection.usedAt < oldest->usedAt)) {
+            oldest = &connection;
+        }
+    }
+    return oldest;
+}
+
+bool MemberConnections::hasIdle(const WorkspaceName &workspace) const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(), [&](const auto &entry) {
+        return entry.second.isIdle() && entry.second.workspace == workspace;
+    });
+}
+
+bool MemberConnections::hasWorkspaces() const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(), [](const auto &entry) {
+        return !entry.second.workspace.isEmpty();
+    });
+}
+
 std::size_t MemberConnections::idleCount() const
 {
     return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &entry) {
--- a/decisions/test/session/fakegroup.h
+++ b/decisions/test/session/fakegroup.h
@@ -37,8 +37,9 @@
     {
         return {MemberId(id), ServiceName("orders"), id + ":1", FailureDomain("a"), 2, false, isRegisteredAsPrimary, 1};
     }
-    void openConnection(ConnectionNumber connection, const MemberRecord &record, const WorkspaceName &) override
+    void openConnection(ConnectionNumber connection, const MemberRecord &record, const WorkspaceName &workspace) override
     {
+        connectionWorkspaces[connection] = workspace;
         connectionMembers[connection] = record.id;
         openingConnections.push_back(connection);
     }
@@ -221,6 +222,7 @@
 
     TimePoint now{1000s};
     std::map<ConnectionNumber, MemberId> connectionMembers;
+    std::map<ConnectionNumber, WorkspaceName> connectionWorkspaces;
     std::map<ConnectionNumber, int> pendingCounts;
     int maxPendingCount = 0;
     std::vector<ConnectionNumber> openingConnections;
--- a/decisions/test/session/groupschedule.h
+++ b/decisions/test/session/groupschedule.h
@@ -25,7 +25,8 @@
 class GroupSchedule
 {
 public:
-    explicit GroupSchedule(std::uint32_t seed) : m_random(seed)
+    /// With workspaces, each request is of one of them, and members that have many connections refuse to open more.
+    explicit GroupSchedule(std::uint32_t seed, std::uint32_t workspaceCount = 0) : m_random(seed), m_workspaceCount(workspaceCount)
     {
         for (int i = 0; i < memberCount; ++i) {
             m_members[i].isPrimary = i == 0;
@@ -60,6 +61,18 @@
     {
         return m_promotionCount;
     }
+    std::size_t overloadCount() const
+    {
+        return m_overloadCount;
+    }
+    std::uint64_t closedForRoomCount() const
+    {
+        std::uint64_t count = 0;
+        for (const auto &home : m_homes) {
+            count += home->groupHome.connectionCounters().closedForRoom;
+        }
+        return count;
+    }
     /// Ends all faults and injects no more.
     void endFaults()
     {
@@ -77,6 +90,8 @@
 private:
     static constexpr int memberCount = 3;
     static constexpr int homeCount = 2;
+    /// Of one home, at a member; a member with fewer refuses some too.
+    static constexpr std::uint32_t acceptedConnections = 16;
 
     struct Member {
         bool isUp = true;
@@ -101,6 +116,7 @@
         std::string id;
         bool isWrite = false;
         std::set<std::string> requiredWrites;
+        WorkspaceName workspace;
     };
     struct ScheduledEvent {
         TimePoint dueAt;
@@ -113,9 +129,26 @@
         {
             reachesMember.fill(true);
         }
-        void openConnection(ConnectionNumber connection, const MemberRecord &record, const WorkspaceName &) override
+        void openConnection(ConnectionNumber connection, const MemberRecord &record, const WorkspaceName &workspace) override
         {
             connectionMembers[connection] = schedule.memberIndex(record.id);
+            connectionWorkspaces[connection] = workspace;
+            const auto count = std::count_if(connectionMembers.begin(), connectionMembers.end(), [&](const auto &entry) {
+                return entry.second == schedule.memberIndex(record.id);
+            });
+            if (static_cast<std::size_t>(count) > GroupHomeLimits().maxConnections) {
+                schedule.recordViolation("more connections than the limit");
+            }
+            const bool isOverloaded
+                = schedule.m_workspaceCount > 0 && static_cast<std::uint32_t>(count) > schedule.m_random() % acceptedConnections;
+            if (isOverloaded) {
+                ++schedule.m_overloadCount;
+                runAfter(20ms, [this, connection] {
+                    connectionMembers.erase(connection);
+                    groupHome.connectionFailed(connection, ConnectFailure::Overloaded, schedule.m_now);
+                });
+                return;
+            }
             runAfter(20ms, [this, connection] {
                 const auto connectionMember = connectionMembers.find(connection);
                 if (connectionMember == connectionMembers.end()) {
@@ -134,6 +167,13 @@
         }
         void sendCommand(ConnectionNumber connection, const MemberCommand &command) override
         {
+            const auto &statementId = command.statement.id;
+            const auto request = std::find_if(openRequests.begin(), openRequests.end(), [&](const auto &entry) {
+                return entry.second.id == statementId;
+            });
+            if (request != openRequests.end() && request->second.workspace != connectionWorkspaces.at(connection)) {
+                schedule.recordViolation(statementId + " was sent on a connection of another workspace");
+            }
             pendingCommands.push_back({connection, command, schedule.m_now + schedule.randomDelay()});
         }
         void closeConnection(ConnectionNumber connection) override
@@ -213,6 +253,7 @@
         GroupSchedule &schedule;
         std::string name;
         std::map<ConnectionNumber, int> connectionMembers;
+        std::map<ConnectionNumber, WorkspaceName> connectionWorkspaces;
         /// The member's process that each open connection leads to.
         std::map<ConnectionNumber, int> connectionProcesses;
         std::map<ConnectionNumber, std::vector<std::string>> transactions;
@@ -471,6 +512,10 @@
         sentRequest.id = home.name + std::to_string(request.number);
         sentRequest.isWrite = m_random() % 2 == 0;
         sentRequest.requiredWrites = m_acknowledgedWrites;
+        if (m_workspaceCount > 0) {
+            sentRequest.workspace = WorkspaceName("w" + std::to_string(m_random() % m_workspaceCount));
+        }
+        request.workspace = sentRequest.workspace;
         request.forwarded.statement.id = sentRequest.id;
         request.forwarded.statement.kind = sentRequest.isWrite ? StatementKind::Write : StatementKind::Read;
         request.forwarded.statement.arguments = "1 a";
@@ -518,6 +563,7 @@
     }
 
     std::mt19937 m_random;
+    std::uint32_t m_workspaceCount = 0;
     TimePoint m_now{1000s};
     std::array<Member, memberCount> m_members;
     std::vector<std::unique_ptr<Home>> m_homes;
@@ -537,6 +583,7 @@
     std::string m_violation;
     std::size_t m_acknowledgedCount = 0;
     std::size_t m_promotionCount = 0;
+    std::size_t m_overloadCount = 0;
     bool m_areFaultsEnded = false;
 };
 
--- a/decisions/test/session/groupschedule_test.cpp
+++ b/decisions/test/session/groupschedule_test.cpp
@@ -40,6 +40,28 @@
     CHECK(promotions > 20);
 }
 
+// Guards against statements that run under the wrong caller. Many more workspaces than connections make homes close some for others.
+TEST_CASE("No statement is sent on a connection of another workspace, under any schedule of faults", "[groupschedule]")
+{
+    std::size_t acknowledged = 0;
+    std::size_t overloads = 0;
+    std::uint64_t closedForRoom = 0;
+    for (std::uint32_t seed = firstSeed; seed < firstSeed + scheduleCount / 3; ++seed) {
+        GroupSchedule schedule(seed, 40);
+        for (int i = 0; i < stepsPerSchedule && schedule.violation().empty(); ++i) {
+            schedule.step();
+        }
+        INFO("seed " << seed);
+        REQUIRE(schedule.violation() == std::string());
+        acknowledged += schedule.acknowledgedCount();
+        overloads += schedule.overloadCount();
+        closedForRoom += schedule.closedForRoomCount();
+    }
+    CHECK(acknowledged > 3'000);
+    CHECK(overloads > 100);
+    CHECK(closedForRoom > 100);
+}
+
 TEST_CASE("A group answers requests again after all faults have ended", "[groupschedule]")
 {
     // In the first schedule, the store is away at the first request.
--- a/sessions/include/rattanbeam/sessions/internal/homeservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/homeservice.h
@@ -70,6 +70,8 @@
     bool isIdle() const;
     /// Number of connections to members, those being opened included.
     std::size_t connections() const;
+    /// Counts of connections by service.
+    std::map<ServiceName, ConnectionCounters> connectionCounters() const;
     std::size_t openTransactions() const;
 
 private:
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -390,6 +390,15 @@
     return total;
 }
 
+std::map<ServiceName, ConnectionCounters> HomeService::connectionCounters() const
+{
+    std::map<ServiceName, ConnectionCounters> counters;
+    for (const auto &[name, serviceHome] : m_serviceHomes) {
+        counters[name] = serviceHome->home().connectionCounters();
+    }
+    return counters;
+}
+
 std::size_t HomeService::openTransactions() const
 {
     std::size_t total = 0;
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -153,6 +153,12 @@
     text << "rattanbeam_sessions " << m_implementation->entry.sessions() << '\n';
     text << "rattanbeam_member_connections " << m_implementation->homes.connections() << '\n';
     text << "rattanbeam_open_transactions " << m_implementation->homes.openTransactions() << '\n';
+    for (const auto &[service, counters] : m_implementation->homes.connectionCounters()) {
+        const std::string label = "{service=\"" + service.text() + "\"} ";
+        text << "rattanbeam_member_connections_opened_total" << label << counters.opened << '\n';
+        text << "rattanbeam_member_connections_closed_for_room_total" << label << counters.closedForRoom << '\n';
+        text << "rattanbeam_member_connections_refused_total" << label << counters.refusedAsOverloaded << '\n';
+    }
     return text.str();
 }
 
--- a/sessions/test/fakeplatform.h
+++ b/sessions/test/fakeplatform.h
@@ -157,7 +157,7 @@
     explicit FakeMembers(EventLoop &loop) : m_loop(loop)
     {}
     std::unique_ptr<MemberLink>
-    connect(const MemberRecord &member, const WorkspaceName &, std::chrono::milliseconds, MemberLinkEvents events) override
+    connect(const MemberRecord &member, const WorkspaceName &workspace, std::chrono::milliseconds, MemberLinkEvents events) override
     {
         const auto sharedEvents = std::make_shared<MemberLinkEvents>(std::move(events));
         const bool isDown = downMembers.contains(member.id.text());
@@ -170,11 +170,12 @@
                 heldEvents->opened();
             }
         });
-        return std::make_unique<Link>(*this, member, sharedEvents);
+        return std::make_unique<Link>(*this, member, workspace, sharedEvents);
     }
 
     std::set<std::string> downMembers; ///< Members that refuse connections.
     std::vector<std::string> executedStatements; ///< Identifiers of the clients' statements, in order of arrival.
+    std::map<std::string, std::string> statementWorkspaces; ///< Workspace that the member was told for each client statement.
     decisions::Duration executionTime{};
     /// Terms of the fences, and when each member was fenced first.
     std::map<std::string, decisions::Term> fenceTerms;
@@ -184,8 +185,8 @@
     class Link : public MemberLink
     {
     public:
-        Link(FakeMembers &members, const MemberRecord &member, std::shared_ptr<MemberLinkEvents> events)
-            : m_members(members), m_member(member), m_events(std::move(events))
+        Link(FakeMembers &members, const MemberRecord &member, WorkspaceName workspace, std::shared_ptr<MemberLinkEvents> events)
+            : m_members(members), m_member(member), m_workspace(std::move(workspace)), m_events(std::move(events))
         {}
         ~Link() override
         {
@@ -196,6 +197,7 @@
             const bool isClientStatement = command.kind == CommandKind::Statement && !command.statement.id.empty();
             if (isClientStatement) {
                 m_members.executedStatements.push_back(command.statement.id);
+                m_members.statementWorkspaces[command.statement.id] = m_workspace.text();
             }
             Answer answer
                 = Answer::success(command.statement.kind == StatementKind::Begin ? SessionPhase::InTransaction : SessionPhase::Idle);
@@ -221,6 +223,7 @@
     private:
         FakeMembers &m_members;
         MemberRecord m_member;
+        WorkspaceName m_workspace;
         std::shared_ptr<MemberLinkEvents> m_events;
     };
 
--- a/sessions/test/sessioninstance_test.cpp
+++ b/sessions/test/sessioninstance_test.cpp
@@ -2,6 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <string>
+#include <tuple>
+#include <vector>
+
 namespace rattanbeam::sessions::test
 {
 
@@ -62,6 +66,50 @@
     CHECK_FALSE(keptClient->refusal);
 }
 
+// Guards against statements that members run under another caller than their session's.
+TEST_CASE("Members are told the workspace of the session whose statement they run", "[sessioninstance]")
+{
+    InstanceFixture fixture;
+    auto configuration = std::get<FleetConfiguration>(fixture.store->records.at({Collection::Configuration, "main"}).value);
+    configuration.version = 4;
+    configuration.workspaces = {{WorkspaceName("mill"), {"key-1", "key-2"}}, {WorkspaceName("quay"), {"key-3"}}};
+    Route openRoute = configuration.routes.front();
+    openRoute.database = decisions::DatabaseName("open");
+    openRoute.isAuthenticationExempt = true;
+    configuration.routes.push_back(openRoute);
+    fixture.store->put(Collection::Configuration, "main", configuration);
+    REQUIRE(fixture.runUntil([&] {
+        return fixture.instance->isReady();
+    }));
+    const std::vector<std::tuple<std::string, std::string, std::string>> callers{{"shop", "key-1", "mill"},
+                                                                                 {"shop", "key-3", "quay"},
+                                                                                 {"shop", "key-2", "mill"},
+                                                                                 {"open", "unknown", ""},
+                                                                                 {"open", "key-3", "quay"}};
+    for (int round = 0; round < 3; ++round) {
+        std::size_t caller = 0;
+        for (const auto &[database, key, workspace] : callers) {
+            const auto [session, client] = fixture.openSession(database, key);
+            REQUIRE(client->isAccepted);
+            const std::string prefix = 'w' + std::to_string(round) + '-' + std::to_string(caller++) + '-';
+            // The first writes may be refused while the group's term is not known.
+            REQUIRE(fixture.runUntil([&, number = session, &answers = client->answers, attempts = std::size_t{0}]() mutable {
+                if (attempts == answers.size() && (answers.empty() || !answers.back().isSuccess())) {
+                    fixture.instance->front().statementArrived(number,
+                                                               InstanceFixture::makeWriteStatement(prefix + std::to_string(attempts++)));
+                }
+                return !answers.empty() && answers.back().isSuccess();
+            }));
+            for (const auto &[statement, told] : fixture.members->statementWorkspaces) {
+                if (statement.starts_with(prefix)) {
+                    CHECK(told == workspace);
+                }
+            }
+        }
+    }
+    CHECK(fixture.members->statementWorkspaces.size() >= 3 * callers.size());
+}
+
 TEST_CASE("An instance that reaches neither the store nor peers is not ready and refuses sessions", "[sessioninstance]")
 {
     InstanceFixture fixture(false);
--- a/standins/include/rattanbeam/standins/sessions/memberserver.h
+++ b/standins/include/rattanbeam/standins/sessions/memberserver.h
@@ -30,6 +30,8 @@
     std::string signature;
     std::string row;
     bool isWrite = false;
+    /// The caller that the member was told when the connection was set up.
+    std::string caller{};
 };
 
 /// Commits of client writes, told when the log took them.
--- a/standins/src/sessions/memberserver.cpp
+++ b/standins/src/sessions/memberserver.cpp
@@ -151,9 +151,8 @@
     void setUp(std::istringstream &words)
     {
         std::string service;
-        std::string who;
         std::string expected;
-        words >> service >> who >> expected;
+        words >> service >> m_caller >> expected;
         const bool isWrong = service != m_server.m_service || (!expected.empty() && expected != m_server.m_id);
         if (isWrong || m_server.m_connections.size() > mostConnections) {
             m_isFailed = false;
@@ -278,7 +277,7 @@
             fail("FAILED");
             return;
         }
-        RunStatement run{m_id, text, m_server.m_id, m_number, transaction, m_values, "", "", isWrite};
+        RunStatement run{m_id, text, m_server.m_id, m_number, transaction, m_values, "", "", isWrite, m_caller};
         run.signature = m_server.m_id + '.' + std::to_string(++m_server.m_lastSignature);
         run.row = verb == "COMMIT" || isWrite ? "" : "row" + std::to_string(m_server.m_lastSignature);
         m_server.m_events.ran(run);
@@ -315,6 +314,7 @@
     std::map<std::string, std::string> m_values;
     std::map<std::string, std::string> m_prepared;
     std::vector<std::string> m_writes;
+    std::string m_caller;
     std::string m_id;
     std::string m_text;
     std::uint64_t m_transaction = 0;
--- a/systemtests/apps/soak.cpp
+++ b/systemtests/apps/soak.cpp
@@ -21,17 +21,20 @@
     int seed = 1;
     int seconds = 20;
     int clients = 24;
+    int workspaces = 0;
     char *folder = nullptr;
     char *daemon = nullptr;
     const poptOption table[] = {{"seed", 0, POPT_ARG_INT, &seed, 0, "Seed of the faults and requests", "NUMBER"},
                                 {"seconds", 0, POPT_ARG_INT, &seconds, 0, "How long faults come", "NUMBER"},
                                 {"clients", 0, POPT_ARG_INT, &clients, 0, "Clients at once", "NUMBER"},
+                                {"workspaces", 0, POPT_ARG_INT, &workspaces, 0, "Workspaces of the clients' keys; 0 for no keys", "NUMBER"},
                                 {"folder", 0, POPT_ARG_STRING, &folder, 0, "Where settings and logs are kept", "FOLDER"},
                                 {"daemon", 0, POPT_ARG_STRING, &daemon, 0, "The program under test", "FILE"},
                                 POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext("rattanbeam-soak", argc, argv, table, 0);
     const int end = poptGetNextOpt(context);
-    const bool isUsable = end == -1 && poptPeekArg(context) == nullptr && seconds > 0 && clients > 0 && clients <= 500;
+    const bool isUsable = end == -1 && poptPeekArg(context) == nullptr && seconds > 0 && clients > 0 && clients <= 500 && workspaces >= 0
+                          && workspaces <= 500;
     poptFreeContext(context);
     if (!isUsable) {
         std::cerr << "rattanbeam-soak: see --help\n";
@@ -41,6 +44,7 @@
     options.seed = static_cast<std::uint32_t>(seed);
     options.faultsFor = std::chrono::seconds(seconds);
     options.clients = clients;
+    options.workspaces = workspaces;
     options.daemon = daemon == nullptr ? RATTANBEAM_DAEMON : daemon;
     options.directory = folder == nullptr ? "soak-" + std::to_string(seed) : folder;
     const auto result = rattanbeam::systemtests::soak::SoakFleet(options).run();
--- a/systemtests/include/rattanbeam/systemtests/soak/auditor.h
+++ b/systemtests/include/rattanbeam/systemtests/soak/auditor.h
@@ -50,6 +50,8 @@
     /// When the statement, or its transaction, was begun by the client.
     Clock::time_point startedAt{};
     std::map<std::string, std::string> values;
+    /// Workspace of the client's key; empty if clients have none.
+    std::string workspace;
 };
 
 /// Compares what clients were told with what the members did. Each broken promise is one line of findings().
--- a/systemtests/include/rattanbeam/systemtests/soak/soakclient.h
+++ b/systemtests/include/rattanbeam/systemtests/soak/soakclient.h
@@ -26,6 +26,12 @@
     std::size_t unanswered = 0;
 };
 
+/// A key that clients present, and the workspace that lists it.
+struct SoakKey {
+    std::string key;
+    std::string workspace;
+};
+
 /// What all clients of one soak share.
 struct SoakWorld {
     boost::asio::io_context &context;
@@ -39,6 +45,8 @@
     std::uint64_t lastSession = 0;
     std::uint64_t lastRequest = 0;
     bool isOver = false;
+    /// Empty if clients are not identified.
+    std::vector<SoakKey> keys{};
 };
 
 /// One client: opens sessions at any instance and asks one statement after the other, single ones, prepared ones and
@@ -73,6 +81,7 @@
     boost::asio::streambuf m_buffer{1 << 20};
     SoakRoute m_route;
     std::string m_front;
+    SoakKey m_key;
     std::uint64_t m_session = 0;
     std::uint64_t m_connection = 0;
     std::uint64_t m_transaction = 0;
--- a/systemtests/include/rattanbeam/systemtests/soak/soakfleet.h
+++ b/systemtests/include/rattanbeam/systemtests/soak/soakfleet.h
@@ -24,6 +24,8 @@
     /// Settings and logs of the instances; kept after the run.
     std::string directory;
     int clients = 24;
+    /// Workspaces that the clients' keys belong to; with 0, clients are not identified.
+    int workspaces = 0;
 };
 
 struct SoakResult {
--- a/systemtests/src/soak/auditor.cpp
+++ b/systemtests/src/soak/auditor.cpp
@@ -84,6 +84,9 @@
     if (run.values != request.sent.values) {
         find("PINNED", run.id, "session values differ at " + run.member);
     }
+    if (!request.sent.workspace.empty() && run.caller != request.sent.workspace) {
+        find("CALLER", run.id, "of " + request.sent.workspace + " ran for " + run.caller + " at " + run.member);
+    }
     const bool isRead = !run.row.empty();
     request.runs[run.signature] = {run.row, isRead ? staleness(request, run) : std::string()};
 }
--- a/systemtests/src/soak/soakclient.cpp
+++ b/systemtests/src/soak/soakclient.cpp
@@ -49,6 +49,8 @@
 {
     m_route = m_world.routes[static_cast<std::size_t>(pick(0, static_cast<int>(m_world.routes.size()) - 1))];
     m_front = m_world.fronts[static_cast<std::size_t>(pick(0, static_cast<int>(m_world.fronts.size()) - 1))];
+    m_key = m_world.keys.empty() ? SoakKey{"soak", ""}
+                                 : m_world.keys[static_cast<std::size_t>(pick(0, static_cast<int>(m_world.keys.size()) - 1))];
     m_session = ++m_world.lastSession;
     ++m_connection;
     m_values.clear();
@@ -72,7 +74,7 @@
         }
         boost::system::error_code ignored;
         self->m_socket.set_option(tcp::no_delay(true), ignored);
-        self->send("SETUP " + self->m_route.database + " soak");
+        self->send("SETUP " + self->m_route.database + ' ' + self->m_key.key);
         self->read();
     });
 }
@@ -254,6 +256,7 @@
     sent.freshness = m_route.freshness;
     sent.stalenessLimit = m_route.stalenessLimit;
     sent.values = m_values;
+    sent.workspace = m_key.workspace;
     m_world.auditor.sent(sent);
     send("QUERY " + m_id + ' ' + text);
 }
--- a/systemtests/src/soak/soakfleet.cpp
+++ b/systemtests/src/soak/soakfleet.cpp
@@ -58,6 +58,11 @@
     , m_nextFaultAt(m_startedAt + startTime + 1s)
 {
     std::filesystem::create_directories(m_options.directory);
+    for (int i = 0; i < m_options.workspaces; ++i) {
+        for (const char *key : {"a", "b"}) {
+            m_world.keys.push_back({"key-" + std::to_string(i) + key, "w" + std::to_string(i)});
+        }
+    }
     for (int i = 1; i <= 3; ++i) {
         const std::string id = "m-" + std::to_string(i);
         Member &member = m_members[id];
@@ -145,12 +150,16 @@
                         {"maxStalenessMs", route.stalenessLimit.count()}});
     }
     m_version += static_cast<std::uint64_t>(pick(1, 5));
-    m_store.put("config",
-                "main",
-                {{"version", m_version},
-                 {"routes", list},
-                 {"services", {{{"name", service}, {"maxConns", 16}}}},
-                 {"limits", {{"txIdleMs", 3000}}}});
+    nlohmann::json configuration = {
+        {"version", m_version}, {"routes", list}, {"services", {{{"name", service}, {"maxConns", 16}}}}, {"limits", {{"txIdleMs", 3000}}}};
+    for (const SoakKey &key : m_world.keys) {
+        nlohmann::json &workspaces = configuration["tenants"];
+        if (workspaces.empty() || workspaces.back()["name"] != key.workspace) {
+            workspaces.push_back({{"name", key.workspace}, {"apiKeys", nlohmann::json::array()}});
+        }
+        workspaces.back()["apiKeys"].push_back(key.key);
+    }
+    m_store.put("config", "main", configuration);
 }
 
 /// Members write what they are when it changes; the entry of a silent one lapses.
--- a/systemtests/test/soak_test.cpp
+++ b/systemtests/test/soak_test.cpp
@@ -119,11 +119,29 @@
     CHECK(other.hasFound("PINNED"));
 }
 
+TEST_CASE("The auditor finds a statement that ran on a connection of another workspace", "[soak]")
+{
+    AuditFixture fixture;
+    SentStatement statement = fixture.sent("r1", "READ 1");
+    statement.id = "r2";
+    statement.workspace = "mill";
+    fixture.auditor.sent(statement);
+    RunStatement run = fixture.run("r2", "READ 1", "m1", "row1");
+    run.caller = "mill";
+    fixture.auditor.ran(run);
+    CHECK_FALSE(fixture.hasFound("CALLER"));
+    run.caller = "quay";
+    fixture.auditor.ran(run);
+    CHECK(fixture.hasFound("CALLER"));
+}
+
+// The third run has more workspaces than members accept connections.
 TEST_CASE("Real instances keep every promise under randomized faults and serve again afterwards", "[soak]")
 {
-    const std::uint32_t seed = GENERATE(20261204U, 20261205U);
+    const auto [seed, workspaces] = GENERATE(table<std::uint32_t, int>({{20261204U, 0}, {20261205U, 0}, {20261206U, 20}}));
     SoakOptions options;
     options.seed = seed;
+    options.workspaces = workspaces;
     options.faultsFor = 12s;
     options.daemon = RATTANBEAM_DAEMON;
     options.directory = "soak-" + std::to_string(seed);
