--- a/decisions/include/rattanbeam/decisions/session/homeplan.h
+++ b/decisions/include/rattanbeam/decisions/session/homeplan.h
@@ -26,6 +26,11 @@
 /// then the rest of its own.
 std::vector<InstanceRecord> relaysOf(const InstanceRecord &self, const std::vector<InstanceRecord> &relays);
 
+/// The instances that may hold the pool of workspace quotas, most preferred first: six that are equal for the whole fleet, then two of the
+/// failure domain of `self` for the case that it is cut off. First homes come last, since they carry the statements of their services.
+std::vector<InstanceRecord>
+planQuotaPools(const InstanceRecord &self, const std::map<ServiceName, HomeRanking> &homes, const std::vector<InstanceRecord> &instances);
+
 /// The relays that monitor whether `instance` is alive, in order: each one is responsible only while all before it are down.
 std::vector<InstanceRecord> monitorsOf(const InstanceRecord &instance, const std::vector<InstanceRecord> &relays);
 
--- a/decisions/src/session/homeplan.cpp
+++ b/decisions/src/session/homeplan.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t minRelays = 3;
 constexpr std::size_t maxRelaysPerInstance = 4;
 constexpr std::ptrdiff_t preferredSameDomainRelays = 2; // relays of other domains come next
+constexpr std::size_t fleetQuotaPools = 6;
+constexpr std::size_t domainQuotaPools = 2; // in addition, so that a domain that is cut off has a pool
 
 /// Finalizer of MurmurHash3, which lets each input bit affect all output bits.
 std::uint64_t finalizeHash(std::uint64_t hash)
@@ -139,6 +141,33 @@
     return ranked;
 }
 
+std::vector<InstanceRecord>
+planQuotaPools(const InstanceRecord &self, const std::map<ServiceName, HomeRanking> &homes, const std::vector<InstanceRecord> &instances)
+{
+    std::set<InstanceId> firstHomes;
+    for (const auto &[service, ranking] : homes) {
+        if (!ranking.empty()) {
+            firstHomes.insert(ranking.front().id);
+        }
+    }
+    std::vector<InstanceRecord> ranked = rankInstances("quota pools", instances);
+    std::stable_partition(ranked.begin(), ranked.end(), [&](const InstanceRecord &instance) {
+        return !firstHomes.contains(instance.id);
+    });
+    std::vector<InstanceRecord> pools;
+    std::size_t ofOwnDomain = 0;
+    for (const InstanceRecord &instance : ranked) {
+        const bool isTakenForDomain = instance.domain == self.domain && ofOwnDomain < domainQuotaPools;
+        if (pools.size() < fleetQuotaPools) {
+            pools.push_back(instance);
+        } else if (isTakenForDomain) {
+            pools.push_back(instance);
+            ++ofOwnDomain;
+        }
+    }
+    return pools;
+}
+
 std::vector<InstanceRecord> monitorsOf(const InstanceRecord &instance, const std::vector<InstanceRecord> &relays)
 {
     // The text is part of the hash key: all instances must use the same one.
--- a/decisions/src/session/quotashare.cpp
+++ b/decisions/src/session/quotashare.cpp
@@ -380,6 +380,9 @@
     for (const QuotaGrant &grant : reply.grants) {
         applyGrant(grant, validUntil, now);
     }
+    if (pool != m_self) {
+        sendDue(now); // for the operations that arrived meanwhile
+    }
 }
 
 void QuotaShare::applyGrant(const QuotaGrant &grant, TimePoint validUntil, TimePoint now)
--- a/sessions/include/rattanbeam/sessions/internal/homeservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/homeservice.h
@@ -5,6 +5,7 @@
 #include "rattanbeam/sessions/eventloop.h"
 #include "rattanbeam/sessions/internal/directory.h"
 #include "rattanbeam/sessions/internal/peerlinks.h"
+#include "rattanbeam/sessions/internal/quotaservice.h"
 #include "rattanbeam/sessions/ports.h"
 #include "rattanbeam/sessions/sessionsettings.h"
 
@@ -26,8 +27,13 @@
 public:
     using ReplyCallback = std::function<void(const link::v1::StatementReply &)>;
 
-    HomeService(
-        EventLoop &loop, const SessionSettings &settings, std::uint64_t incarnation, Directory &directory, PeerLinks &links, Ports &ports);
+    HomeService(EventLoop &loop,
+                const SessionSettings &settings,
+                std::uint64_t incarnation,
+                Directory &directory,
+                PeerLinks &links,
+                QuotaService &quotas,
+                Ports &ports);
     ~HomeService();
 
     /// Runs a statement that came from `entry`, which identifies the entry instance's connection.
@@ -49,6 +55,10 @@
     void fleetChanged();
     /// The instances that may be home to a service, most preferred first.
     const HomeRanking &ranking(const ServiceName &service) const;
+    const std::map<ServiceName, HomeRanking> &rankings() const
+    {
+        return m_rankings;
+    }
     /// The instances that watch the store on behalf of the others.
     const std::vector<InstanceRecord> &relays() const
     {
@@ -64,7 +74,7 @@
     /// Whether requests are redirected to other homes, except those of open transactions. To be set while this instance is leaving or
     /// overloaded.
     void setRedirecting(bool isRedirecting);
-    /// Whether no home has requests or open transactions.
+    /// Whether no home has requests or open transactions, and none waits for its quota.
     bool isQuiet() const;
     /// Whether this instance is no service's first home, and isQuiet().
     bool isIdle() const;
@@ -89,6 +99,10 @@
         std::uint64_t generation = 0;
     };
 
+    /// Gives an admitted statement to the home of its service.
+    void runStatement(const std::string &entry, const link::v1::StatementRequest &message, TimePoint arrivedAt, ReplyCallback callback);
+    /// Whether new work is to be sent to another home; calls back with such a reply if so.
+    bool redirect(const link::v1::StatementRequest &message, const ReplyCallback &callback) const;
     /// Returns the service's home, creating it if there is none.
     ServiceHome *ensureServiceHome(const ServiceName &service);
     decisions::session::GroupHome &homeOf(const ServiceName &service);
@@ -110,6 +124,7 @@
     std::string m_self;
     Directory &m_directory;
     PeerLinks &m_links;
+    QuotaService &m_quotas;
     Ports &m_ports;
     bool m_isRedirecting = false;
     std::map<ServiceName, HomeRanking> m_rankings;
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -72,6 +72,15 @@
     return message;
 }
 
+HomeReply quotaRefusal(decisions::Duration retryAfter)
+{
+    const auto milliseconds = std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count());
+    HomeReply refusal;
+    refusal.answer = Answer::failure(
+        StatementError::Busy, "quota-exceeded retry-after-ms=" + std::to_string(milliseconds), SessionPhase::Idle);
+    return refusal;
+}
+
 } // namespace
 
 /// One service's home, and the connections and calls that carry out its decisions.
@@ -174,13 +183,19 @@
     GroupHome m_home;
 };
 
-HomeService::HomeService(
-    EventLoop &loop, const SessionSettings &settings, std::uint64_t incarnation, Directory &directory, PeerLinks &links, Ports &ports)
+HomeService::HomeService(EventLoop &loop,
+                         const SessionSettings &settings,
+                         std::uint64_t incarnation,
+                         Directory &directory,
+                         PeerLinks &links,
+                         QuotaService &quotas,
+                         Ports &ports)
     : m_loop(loop)
     , m_settings(settings)
     , m_self(settings.instance.text() + '/' + std::to_string(incarnation))
     , m_directory(directory)
     , m_links(links)
+    , m_quotas(quotas)
     , m_ports(ports)
 {}
 
@@ -264,19 +279,58 @@
     }
 }
 
+bool HomeService::redirect(const link::v1::StatementRequest &message, const ReplyCallback &callback) const
+{
+    const bool continuesTransaction = message.transaction() != 0 && !message.opens();
+    if (!m_isRedirecting || continuesTransaction) {
+        return false;
+    }
+    HomeReply refusal;
+    refusal.answer = Answer::failure(StatementError::Busy, "home-away", SessionPhase::Idle);
+    refusal.isRedirect = true;
+    callback(statementReply(message.request(), refusal));
+    return true;
+}
+
 void HomeService::handleStatement(const std::string &entry, const link::v1::StatementRequest &message, ReplyCallback callback)
 {
+    if (redirect(message, callback)) {
+        return;
+    }
     const TimePoint now = EventLoop::now();
-    const RequestNumber number = ++m_lastRequestNumber;
-    const std::uint64_t entryRequest = message.request();
-    const bool continuesTransaction = message.transaction() != 0 && !message.opens();
-    if (m_isRedirecting && !continuesTransaction) {
-        HomeReply refusal;
-        refusal.answer = Answer::failure(StatementError::Busy, "home-away", SessionPhase::Idle);
-        refusal.isRedirect = true;
-        callback(statementReply(entryRequest, refusal));
+    const WorkspaceName workspace(message.workspace());
+    const bool isOperation = message.transaction() == 0 || message.opens();
+    if (!isOperation || !m_quotas.isLimited(workspace)) {
+        runStatement(entry, message, now, std::move(callback));
         return;
     }
+    const QuotaService::Decision decision = m_quotas.request(workspace, now + std::chrono::milliseconds(message.timeout_ms()));
+    if (decision.verdict == decisions::session::QuotaVerdict::Admitted) {
+        runStatement(entry, message, now, std::move(callback));
+        return;
+    }
+    if (decision.verdict == decisions::session::QuotaVerdict::Refused) {
+        callback(statementReply(message.request(), quotaRefusal(decision.retryAfter)));
+        return;
+    }
+    m_quotas.whenDecided(
+        decision.operation, entry, [this, entry, message, now, callback = std::move(callback)](bool isAdmitted, decisions::Duration retryAfter) {
+            if (!isAdmitted) {
+                callback(statementReply(message.request(), quotaRefusal(retryAfter)));
+            } else if (!redirect(message, callback)) {
+                runStatement(entry, message, now, callback);
+            }
+        });
+}
+
+void HomeService::runStatement(const std::string &entry,
+                               const link::v1::StatementRequest &message,
+                               TimePoint arrivedAt,
+                               ReplyCallback callback)
+{
+    const TimePoint now = EventLoop::now();
+    const RequestNumber number = ++m_lastRequestNumber;
+    const std::uint64_t entryRequest = message.request();
     m_replyCallbacks[number] = [entryRequest, callback = std::move(callback)](const link::v1::StatementReply &reply) {
         link::v1::StatementReply renumbered = reply;
         renumbered.set_request(entryRequest);
@@ -284,7 +338,7 @@
     };
     GroupHome &home = ensureServiceHome(ServiceName(message.service()))->home();
     const bool wasQuiet = home.isQuiet();
-    home.request(homeRequest(entry, message, number, now), now);
+    home.request(homeRequest(entry, message, number, arrivedAt), now);
     if (wasQuiet) {
         home.tick(now); // opens connections at once instead of at the next tick, which may be far away while this instance was idle
     }
@@ -300,6 +354,7 @@
 
 void HomeService::entryLost(const std::string &entry)
 {
+    m_quotas.entryLost(entry);
     for (auto &[name, serviceHome] : m_serviceHomes) {
         serviceHome->home().entryLost(entry, EventLoop::now());
     }
@@ -368,7 +423,7 @@
 
 bool HomeService::isQuiet() const
 {
-    return std::all_of(m_serviceHomes.begin(), m_serviceHomes.end(), [](const auto &item) {
+    return m_quotas.waiting() == 0 && std::all_of(m_serviceHomes.begin(), m_serviceHomes.end(), [](const auto &item) {
         return item.second->home().isQuiet();
     });
 }
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -9,6 +9,7 @@
 #include "rattanbeam/sessions/internal/homeservice.h"
 #include "rattanbeam/sessions/internal/instancelink.h"
 #include "rattanbeam/sessions/internal/peerlinks.h"
+#include "rattanbeam/sessions/internal/quotaservice.h"
 
 #include <algorithm>
 #include <set>
@@ -70,7 +71,8 @@
                    [this](const std::string &address, const link::v1::Pong &pong, TimePoint pingSentAt) {
                        pongArrived(address, pong, pingSentAt);
                    }})
-        , homes(loop, settings, incarnation, directory, peerLinks, ports)
+        , quotas(settings, directory, peerLinks, metrics)
+        , homes(loop, settings, incarnation, directory, peerLinks, quotas, ports)
         , entry(loop, settings, directory, peerLinks, homes, metrics)
         , fleetMonitor(loop, settings, *ports.store, directory, peerLinks, homes, entry)
     {}
@@ -99,6 +101,7 @@
     kernel::Metrics metrics;
     internal::Directory directory;
     internal::PeerLinks peerLinks;
+    internal::QuotaService quotas;
     internal::HomeService homes;
     internal::EntryService entry;
     internal::FleetMonitor fleetMonitor;
@@ -153,6 +156,8 @@
     text << "rattanbeam_sessions " << m_implementation->entry.sessions() << '\n';
     text << "rattanbeam_member_connections " << m_implementation->homes.connections() << '\n';
     text << "rattanbeam_open_transactions " << m_implementation->homes.openTransactions() << '\n';
+    text << "rattanbeam_quota_delegations " << m_implementation->quotas.delegations() << '\n';
+    text << "rattanbeam_quota_waiting " << m_implementation->quotas.waiting() << '\n';
     return text.str();
 }
 
@@ -199,6 +204,7 @@
         measureLag();
         peerLinks.tick();
         directory.tick();
+        quotas.tick();
         homes.tick();
         entry.tick();
     });
@@ -223,6 +229,7 @@
 void SessionInstance::Implementation::fleetChanged()
 {
     homes.fleetChanged();
+    quotas.fleetChanged(homes.rankings());
     directory.setRelay(homes.isRelay());
     updatePersistentPeers();
     if (directory.isReady() && !std::exchange(isReadyLogged, true)) {
@@ -383,6 +390,10 @@
         *answer.mutable_fence_reply() = homes.yieldLease(frame.fence());
         stream->write(answer);
         break;
+    case link::v1::Frame::kQuotaRequest:
+        *answer.mutable_quota_reply() = quotas.handleRequest(frame.quota_request());
+        stream->write(answer);
+        break;
     case link::v1::Frame::kSnapshotRequest:
         *answer.mutable_snapshot() = directory.snapshot(frame.snapshot_request());
         answer.mutable_snapshot()->set_number(frame.snapshot_request().number());
@@ -405,6 +416,9 @@
     case link::v1::Frame::kFenceReply:
         homes.yieldAnswered(frame.fence_reply());
         break;
+    case link::v1::Frame::kQuotaReply:
+        quotas.replyArrived(home.address, frame.quota_reply());
+        break;
     case link::v1::Frame::kSnapshot:
         directory.merge(frame.snapshot());
         break;
--- a/sessions/src/sessionsettings.cpp
+++ b/sessions/src/sessionsettings.cpp
@@ -47,6 +47,19 @@
     return addresses;
 }
 
+/// A number of the section `quotas`, from 0 to `maxValue`.
+double readQuotaNumber(IniReader &reader, const std::string &key, double maxValue)
+{
+    const std::string text = reader.text("quotas", key, "0");
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size() || !(value >= 0) || value > maxValue) {
+        reader.fail("quotas", key, "'" + text + "' is not a number from 0 to " + std::to_string(static_cast<std::uint64_t>(maxValue)));
+        return 0;
+    }
+    return value;
+}
+
 /// Thousandths of a core: the share of a core, such as 0.25, times the relative speed of the core.
 std::uint32_t readProcessorMilli(IniReader &reader)
 {
@@ -86,6 +99,9 @@
     settings.grace = reader.duration("limits", "grace", {500, 600'000}, 6s);
     settings.configurationBound = reader.duration("limits", "configuration-bound", {500, 600'000}, 3s);
     settings.processorMilli = readProcessorMilli(reader);
+    settings.quotaBound.window = reader.duration("quotas", "window", {1000, 600'000}, 5s);
+    settings.quotaBound.tolerance = readQuotaNumber(reader, "tolerance", 10);
+    settings.quotaBound.slack = readQuotaNumber(reader, "slack", 1e6);
     const std::string level = reader.choice("log", "level", {"debug", "info", "warning", "error"}, "info");
     settings.logLevel = level == "debug"     ? kernel::LogLevel::Debug
                         : level == "warning" ? kernel::LogLevel::Warning
