--- a/decisions/src/session/quotashare.cpp
+++ b/decisions/src/session/quotashare.cpp
@@ -25,6 +25,7 @@
 constexpr double minAheadOperations = 2; // fewer are not worth tokens that may expire unused
 constexpr Duration demandPeriod = 200ms; // weight of the past in the estimate of demand
 constexpr Duration returnBefore = 100ms; // tokens that expire sooner and are not expected to be used are given back
+constexpr Duration returnDueBefore = 60ms; // a request is sent for tokens that are to be given back
 constexpr Duration maxSilence = 600ms; // of a pool until another one is chosen
 constexpr Duration quarantine = 3s; // of an instance that was down, before it is chosen again
 constexpr Duration probeInterval = 2s; // of instances that would be preferred to the present pool
@@ -231,11 +232,17 @@
     if (!account.waiters.empty() || account.settleAt <= now) {
         return true;
     }
+    expireGrants(account, now);
+    if (!account.grants.empty() && account.grants.front().expiresAt - now < returnDueBefore) {
+        const Grant &oldest = account.grants.front();
+        if (oldest.tokens >= expectedOperations(account, oldest.expiresAt - now, now) + minAheadOperations) {
+            return true;
+        }
+    }
     if (now - m_lastAskAt < minAheadInterval || now < account.emptyUntil - askBeforeRetry
         || expectedOperations(account, aheadPeriod, now) < minAheadOperations) {
         return false;
     }
-    expireGrants(account, now);
     return heldTokens(account) <= expectedOperations(account, lowPeriod, now);
 }
 
@@ -455,7 +462,8 @@
         }
     }
     const bool isTargetRemote = !m_target.isEmpty() && m_target != m_self;
-    if (isTargetRemote && now - m_peers[m_target].lastSentAt >= keepaliveInterval) {
+    const bool isDelegationDue = isTargetRemote && m_committedTo != m_target && canDelegateTo(m_target, now);
+    if (isTargetRemote && (isDelegationDue || now - m_peers[m_target].lastSentAt >= keepaliveInterval)) {
         send(m_target, askedPool(now) == m_target, now);
     }
 }
--- a/decisions/test/session/quotaworld.h
+++ b/decisions/test/session/quotaworld.h
@@ -53,7 +53,7 @@
             Instance instance;
             instance.id = InstanceId("i" + std::to_string(i));
             instance.domain = i % domains;
-            instance.clockOffset = std::chrono::milliseconds(uniform(1, 1'000'000));
+            instance.clockOffset = std::chrono::milliseconds(static_cast<int>(uniform(1, 1e6)));
             instance.clockRate = 1 + (uniform(0, 20) - 10) * 1e-4;
             instances.push_back(std::move(instance));
         }
