--- a/decisions/test/session/workspaceload.h
+++ b/decisions/test/session/workspaceload.h
@@ -63,17 +63,49 @@
         m_acceptedConnections = count;
         m_lingering = lingering;
     }
+    /// `transaction` opens one with the statement.
     void send(const std::string &workspace, bool isWrite, Duration work, std::uint64_t transaction = 0)
     {
+        sendRequest(workspace, isWrite ? StatementKind::Write : StatementKind::Read, work, transaction, transaction != 0);
+    }
+    /// Sends the next statement of a random open transaction, or its commit.
+    void continueTransaction()
+    {
+        if (m_openTransactions.empty()) {
+            return;
+        }
+        const auto at = m_openTransactions.begin() + static_cast<std::ptrdiff_t>(m_random() % m_openTransactions.size());
+        const auto [workspace, transaction] = *at;
+        m_openTransactions.erase(at);
+        sendRequest(workspace, m_random() % 2 == 0 ? StatementKind::Write : StatementKind::Commit, 5ms, transaction, false);
+    }
+    void loseConnection()
+    {
+        if (!m_connections.empty()) {
+            const auto lost = std::next(m_connections.begin(), static_cast<std::ptrdiff_t>(m_random() % m_connections.size()));
+            const ConnectionNumber number = lost->first;
+            m_connections.erase(lost);
+            m_home->connectionFailed(number, ConnectFailure::Lost, m_now);
+        }
+    }
+    /// Nothing happens for some time, as when the process was suspended.
+    void pause(Duration time)
+    {
+        m_now += time;
+        m_home->paused(time);
+    }
+    void sendRequest(const std::string &workspace, StatementKind kind, Duration work, std::uint64_t transaction, bool opensTransaction)
+    {
+        const bool isWrite = kind != StatementKind::Read;
         HomeRequest request;
         request.number = ++m_lastRequest;
         request.workspace = WorkspaceName(workspace);
         request.forwarded.statement.id = "s" + std::to_string(request.number);
-        request.forwarded.statement.kind = isWrite ? StatementKind::Write : StatementKind::Read;
+        request.forwarded.statement.kind = kind;
         request.forwarded.isReadOnly = !isWrite;
         if (transaction != 0) {
             request.transaction = {"a2", transaction, 1};
-            request.forwarded.opensTransaction = true;
+            request.forwarded.opensTransaction = opensTransaction;
         }
         request.consistency = isWrite ? Consistency::Latest : Consistency::BoundedAge;
         request.stalenessLimit = 1500ms;
@@ -82,7 +114,7 @@
         request.deadline = m_now + 1200ms;
         request.objectiveAt = m_now + 400ms;
         request.values = std::make_shared<const SessionValues>();
-        m_requests[request.number] = {workspace, m_now, work};
+        m_requests[request.number] = {workspace, m_now, work, transaction};
         ++results[workspace].sent;
         m_home->request(request, m_now);
     }
@@ -167,6 +199,9 @@
         WorkspaceResult &result = results[found->second.workspace];
         const bool isInTime = m_now - found->second.sentAt <= 400ms;
         ++(!reply.answer.isSuccess() ? result.refused : isInTime ? result.servedInTime : result.servedLate);
+        if (reply.isTransactionOpen) {
+            m_openTransactions.emplace_back(found->second.workspace, found->second.transaction);
+        }
         m_requests.erase(found);
     }
     void writeTerm(const TermRecord &record, std::uint64_t) override
@@ -198,6 +233,7 @@
         std::string workspace;
         TimePoint sentAt;
         Duration work{};
+        std::uint64_t transaction = 0;
     };
     struct Connection {
         MemberId member;
@@ -300,6 +336,7 @@
     std::map<MemberId, Member> m_members;
     std::map<ConnectionNumber, Connection> m_connections;
     std::map<ConnectionNumber, bool> m_inTransaction;
+    std::vector<std::pair<std::string, std::uint64_t>> m_openTransactions;
     std::map<RequestNumber, Request> m_requests;
     RequestNumber m_lastRequest = 0;
     std::optional<TermRecord> m_term;
--- a/decisions/test/session/workspaceload_test.cpp
+++ b/decisions/test/session/workspaceload_test.cpp
@@ -2,7 +2,10 @@
 
 #include "workspaceload.h"
 
+#include "schedules.h"
+
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
 
 #include <string>
 
@@ -126,4 +129,60 @@
     checkAllAnswered(load);
 }
 
+// Guards against statements on another workspace's connection and lost or double replies when connections come and go.
+TEST_CASE("Each request is answered once and runs for its workspace, over any schedule of requests, pauses and failures", "[workspaceload]")
+{
+    std::uint64_t closedForRoom = 0;
+    std::uint64_t refusedAsOverloaded = 0;
+    std::size_t served = 0;
+    rc::prop("over any schedule", [&] {
+        WorkspaceLoad load(16);
+        std::uint64_t lastTransaction = 0;
+        for (const std::uint32_t choice : *rattanbeam::test::scheduleChoices(400)) {
+            const std::uint32_t detail = choice / 16;
+            const std::string workspace = detail % 8 == 0 ? "" : "w" + std::to_string(detail % 40);
+            switch (choice % 16) {
+            case 0:
+                load.loseConnection();
+                break;
+            case 1:
+                load.pause(std::chrono::milliseconds(detail % 1500));
+                break;
+            case 2:
+                load.setAcceptedConnections(1 + detail % 16, std::chrono::milliseconds(detail % 50));
+                break;
+            case 3:
+                load.run(std::chrono::milliseconds(detail % 300));
+                break;
+            case 4:
+            case 5:
+            case 6:
+                load.send(workspace, true, 5ms, ++lastTransaction);
+                break;
+            case 7:
+            case 8:
+                load.continueTransaction();
+                break;
+            default:
+                load.send(workspace, detail % 2 == 0, std::chrono::milliseconds(detail % 60));
+                break;
+            }
+            load.run(3ms);
+        }
+        load.run(5s);
+        RC_ASSERT(load.violation == std::string());
+        RC_ASSERT(load.unanswered() == 0U);
+        RC_ASSERT(load.maxConnectionCount <= 16U);
+        closedForRoom += load.connectionCounters().closedForRoom;
+        refusedAsOverloaded += load.connectionCounters().refusedAsOverloaded;
+        for (const auto &[workspace, result] : load.results) {
+            served += result.servedInTime + result.servedLate;
+        }
+    });
+    // Guards against schedules that make the property trivial.
+    CHECK(closedForRoom > 100);
+    CHECK(refusedAsOverloaded > 100);
+    CHECK(served > 1000);
+}
+
 } // namespace rattanbeam::decisions::session::test
