--- a/decisions/test/session/workspaceload_test.cpp
+++ b/decisions/test/session/workspaceload_test.cpp
@@ -129,6 +129,26 @@
     checkAllAnswered(load);
 }
 
+// Each opening costs a member a slot for some time, also one that it refuses.
+TEST_CASE("Members that accept no more connections are not flooded with openings", "[workspaceload]")
+{
+    WorkspaceLoad load(16);
+    for (int i = 0; i < 60; ++i) {
+        load.setLoad("w" + std::to_string(i), 2, true, 10ms);
+    }
+    load.setAcceptedConnections(0, 0ms);
+    load.run(3s);
+    // Per member a few with short pauses, then one every 300 ms.
+    CHECK(load.connectionCounters().refusedAsOverloaded > 3);
+    CHECK(load.connectionCounters().refusedAsOverloaded <= 3 * 16);
+    load.setAcceptedConnections(16, 0ms);
+    load.run(1s);
+    load.results.clear();
+    load.run(5s);
+    checkServedInTime(load, "w", 0.9);
+    checkAllAnswered(load);
+}
+
 // Guards against statements on another workspace's connection and lost or double replies when connections come and go.
 TEST_CASE("Each request is answered once and runs for its workspace, over any schedule of requests, pauses and failures", "[workspaceload]")
 {
