--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -172,7 +172,8 @@
         /// Number of this home's connections when the member refused another one; limits them until `cappedUntil`.
         std::size_t connectionCap = 0;
         TimePoint cappedUntil = distantPast;
-        /// Connections of workspaces that the member refused in a row as overloaded, without those opened at the same time.
+        /// Connections that the member refused in a row as overloaded, without those opened at the same time; 0 while clients are not
+        /// identified.
         std::uint32_t overloads = 0;
         TimePoint lastOverloadAt = distantPast;
 
--- a/decisions/src/session/grouphomeconnections.cpp
+++ b/decisions/src/session/grouphomeconnections.cpp
@@ -205,14 +205,18 @@
             member->queue.abandoned(work, now);
         }
     }
-    const bool isOfWorkspace = !connection->workspace.isEmpty();
+    const bool isForWorkspaces = servesWorkspaces(*member, now);
     dropConnection(*member, number, true, StatementError::InDoubt, now);
     if (failure == ConnectFailure::Overloaded) {
         ++m_connectionCounters.refusedAsOverloaded;
         // Other homes hold the rest of the member's connections.
-        member->connectionCap = std::max<std::size_t>(1, member->connections.totalCount());
+        // The refusal after a connection was closed for room may only mean that the closed one still counts.
+        const bool mayBeRoom = isForWorkspaces && member->overloads == 1 && now < member->cappedUntil;
+        if (!mayBeRoom) {
+            member->connectionCap = std::max<std::size_t>(1, member->connections.totalCount());
+        }
         member->cappedUntil = now + connectionCapLifetime;
-        if (!isOfWorkspace) {
+        if (!isForWorkspaces) {
             member->nextConnectAt = now + maxOverloadBackoff;
         } else if (connectStartedAt >= member->lastOverloadAt) {
             const Duration backoff = minOverloadBackoff * (1U << std::min(member->overloads, 4U));
@@ -220,7 +224,7 @@
             member->lastOverloadAt = now;
             member->nextConnectAt = now + std::min(backoff, maxOverloadBackoff);
         }
-        if (servesWorkspaces(*member, now)) {
+        if (isForWorkspaces) {
             startQueuedWork(*member, now);
         }
         return;
@@ -232,7 +236,7 @@
         }
         return;
     }
-    const bool isFirstOfSeveral = !isOfWorkspace || now >= member->nextConnectAt;
+    const bool isFirstOfSeveral = !isForWorkspaces || now >= member->nextConnectAt;
     if (isFirstOfSeveral) {
         member->backoff = std::clamp<Duration>(member->backoff * 2, minBackoff, maxBackoff);
         member->nextConnectAt = now + member->backoff;
--- a/decisions/test/rankqueue_test.cpp
+++ b/decisions/test/rankqueue_test.cpp
@@ -356,6 +356,54 @@
     CHECK(model.served("greedy") > 1000);
 }
 
+// The newest work of a rank was refused, whoever's backlog was in the way.
+TEST_CASE("Hopeless work is refused of the customer with the backlog, not of one that waits for its turn", "[rankqueue]")
+{
+    QueueLimits limits = makeLimits(1);
+    limits.assumedServiceTime = 10ms;
+    RankQueue queue(limits);
+    const TimePoint now{std::chrono::hours(1)};
+    std::set<WorkId> accepted;
+    for (WorkId id = 1; id <= 60; ++id) {
+        const QueuedWork work{id, Rank::Interactive, CustomerId("greedy"), now + 800ms, ampleConnections, false, now + 800ms};
+        if (!queue.offer(work, now)) {
+            accepted.insert(id);
+        }
+    }
+    REQUIRE(accepted.size() > 20);
+    REQUIRE_FALSE(queue.offer({100, Rank::Interactive, CustomerId("modest"), now + 801ms, ampleConnections, false, now + 801ms}, now));
+    // More urgent work arrives, and leaves interactive work only a part of the time.
+    for (WorkId id = 200; id < 255; ++id) {
+        queue.offer({id, Rank::Urgent, CustomerId("other"), now + 10s, ampleConnections, false, now + 10s}, now);
+    }
+    std::size_t refused = 0;
+    for (const QueueDecision &decision : queue.advance(now, 0)) {
+        CHECK(accepted.contains(decision.id));
+        CHECK_FALSE(decision.isStart());
+        ++refused;
+    }
+    CHECK(refused > 0);
+    CHECK(queue.cancel(100));
+}
+
+TEST_CASE("Customers held back by the connection test don't hold up others", "[rankqueue]")
+{
+    RankQueue queue(makeLimits(2));
+    const TimePoint now{std::chrono::hours(1)};
+    REQUIRE_FALSE(queue.offer({1, Rank::Urgent, CustomerId("blocked"), now + 1s, ampleConnections, false}, now));
+    REQUIRE_FALSE(queue.offer({2, Rank::Urgent, CustomerId("free"), now + 2s, ampleConnections, false, TimePoint::max(), true}, now));
+    REQUIRE_FALSE(queue.offer({3, Rank::Urgent, CustomerId("free"), now + 2s, ampleConnections, false}, now));
+    const ConnectionTest onlyFreeWithoutTransactions = [](const CustomerId &customer, bool opensTransaction) {
+        return customer == CustomerId("free") && !opensTransaction;
+    };
+    CHECK(queue.advance(now, ampleConnections, onlyFreeWithoutTransactions) == std::vector<QueueDecision>{{3, Outcome{}}});
+    // A statement that was not sent waits again, at its old deadline.
+    queue.requeue(3, now);
+    CHECK(queue.running() == 0);
+    CHECK(queue.waiting(Rank::Urgent) == 3);
+    CHECK(queue.advance(now, 1) == std::vector<QueueDecision>{{1, Outcome{}}});
+}
+
 TEST_CASE("Work that cannot meet its deadline is refused before it starts", "[rankqueue]")
 {
     RankQueue queue(makeLimits(1));
--- a/decisions/test/session/grouphomeworkspaces_test.cpp
+++ b/decisions/test/session/grouphomeworkspaces_test.cpp
@@ -67,6 +67,32 @@
     CHECK(group.home.connectionCounters().opened == opened);
 }
 
+TEST_CASE("A request whose connection the member refuses as overloaded is sent on the next one", "[grouphome]")
+{
+    FakeGroup group;
+    group.makeHealthy();
+    const HomeRequest request = writeOf(group, "mill", "w1");
+    group.home.request(request, group.now);
+    for (int refusals = 0; refusals < 3; ++refusals) {
+        REQUIRE(group.openingConnections.size() == 1);
+        for (const ConnectionNumber connection : std::exchange(group.openingConnections, {})) {
+            group.home.connectionFailed(connection, ConnectFailure::Overloaded, group.now);
+        }
+        CHECK(group.openingConnections.empty()); // not again at once
+        CHECK(group.replyTo(request.number) == nullptr);
+        for (int i = 0; i < 10; ++i) {
+            group.advanceTime(10ms);
+            while (!group.pendingCommands.empty()) {
+                group.answerNext();
+            }
+        }
+    }
+    group.answerAll();
+    CHECK(group.timesSent("w1") == 1);
+    REQUIRE(group.replyTo(request.number) != nullptr);
+    CHECK(group.replyTo(request.number)->answer.isSuccess());
+}
+
 TEST_CASE("Maintenance commands run on an idle connection of any workspace", "[grouphome]")
 {
     FakeGroup group;
