--- a/decisions/include/rattanbeam/decisions/session/quotashare.h
+++ b/decisions/include/rattanbeam/decisions/session/quotashare.h
@@ -158,6 +158,7 @@
     void chooseTarget(TimePoint now);
     bool isPastAbstention(TimePoint now) const;
     bool ownsShare(TimePoint now) const;
+    bool coversOldGrants() const;
     bool canDelegateTo(const InstanceId &instance, TimePoint now) const;
     /// The pool that is asked for tokens.
     InstanceId askedPool(TimePoint now) const;
@@ -191,6 +192,8 @@
     /// This instance's share may be counted by this other pool until `m_committedUntil`.
     InstanceId m_committedTo;
     TimePoint m_committedUntil = distantPast;
+    /// When this instance's own pool used its share last.
+    TimePoint m_ownShareUsedAt = distantPast;
     std::map<InstanceId, Peer> m_peers;
     std::map<WorkspaceName, Account> m_accounts;
     std::size_t m_waiting = 0;
--- a/decisions/src/session/quotashare.cpp
+++ b/decisions/src/session/quotashare.cpp
@@ -121,11 +121,20 @@
     return m_isRegistered && isPastAbstention(now) && now >= m_committedUntil;
 }
 
+/// Tokens of a pool remain valid for a while after it has lost a share. The bound leaves room for them only with enough tolerance.
+bool QuotaShare::coversOldGrants() const
+{
+    return m_bound.window * m_bound.tolerance >= grantValidity;
+}
+
 bool QuotaShare::canDelegateTo(const InstanceId &instance, TimePoint now) const
 {
     const auto found = m_peers.find(instance);
     const bool isStampFresh = found != m_peers.end() && found->second.stamp != 0 && now - found->second.stampReceivedAt < delegationPeriod;
-    return isStampFresh && m_isRegistered && isPastAbstention(now) && (m_committedTo == instance || now >= m_committedUntil);
+    const TimePoint ownGrantsEndAt = coversOldGrants() ? m_ownShareUsedAt : m_ownShareUsedAt + grantValidity;
+    const bool isShareFree = now >= m_committedUntil && now >= ownGrantsEndAt;
+    return isStampFresh && m_isRegistered && isPastAbstention(now)
+           && (m_committedTo == instance ? now < m_committedUntil || isShareFree : isShareFree);
 }
 
 InstanceId QuotaShare::askedPool(TimePoint now) const
@@ -136,7 +145,9 @@
 
 void QuotaShare::updateOwnShare(TimePoint now)
 {
-    m_pool.setOwnShare(m_target == m_self && ownsShare(now), now);
+    const bool isUsed = m_target == m_self && ownsShare(now);
+    m_pool.setOwnShare(isUsed, now);
+    m_ownShareUsedAt = isUsed ? now : m_ownShareUsedAt;
 }
 
 void QuotaShare::expireGrants(Account &account, TimePoint now)
@@ -304,9 +315,7 @@
     if (pool != m_self && pool == m_target && canDelegateTo(pool, now)) {
         request.delegates = true;
         // The pool may count this share until the period after it sent the stamp has ended, which is earlier than the time set here.
-        // Tokens of the pool remain valid for a while after that. The bound leaves room for them only with enough tolerance.
-        const bool coversGrants = m_bound.window * m_bound.tolerance >= grantValidity;
-        const Duration margin = coversGrants ? clockMargin : clockMargin + grantValidity;
+        const Duration margin = coversOldGrants() ? clockMargin : clockMargin + grantValidity;
         const TimePoint until = peer->second.stampReceivedAt + delegationPeriod + margin;
         m_committedUntil = m_committedTo == pool ? std::max(m_committedUntil, until) : until;
         m_committedTo = pool;
--- a/decisions/test/session/quotashare_test.cpp
+++ b/decisions/test/session/quotashare_test.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <array>
+
 namespace rattanbeam::decisions::session::test
 {
 
@@ -65,7 +67,8 @@
 class Trial
 {
 public:
-    explicit Trial(std::uint32_t seed, const QuotaBound &bound) : m_count(4 + seed % 9), m_world(m_count, bound, seed)
+    Trial(std::uint32_t seed, const QuotaBound &bound, bool areAdvancesAllowed)
+        : m_count(4 + seed % 9), m_areAdvancesAllowed(areAdvancesAllowed), m_world(m_count, bound, seed)
     {
         m_before = {{large, {120, 120}}, {small, {4, 4}}};
         m_after = {{large, {m_world.uniform(0, 1) < 0.5 ? 120.0 : 15.0, m_world.uniform(0, 1) < 0.5 ? 120.0 : 15.0}}, {small, {4, 4}}};
@@ -78,7 +81,7 @@
             m_world.poolOrder.push_back(i);
             m_world.instances[i].limits = m_before;
             m_world.instances[i].knownInstances = static_cast<std::uint32_t>(m_count);
-            m_world.instances[i].mayAdvance = i >= m_count - std::min<std::size_t>(m_count, 4);
+            m_world.instances[i].mayAdvance = m_areAdvancesAllowed && i >= m_count - 4;
         }
         for (std::size_t i = 0; i < m_count; ++i) {
             m_world.at(milliseconds(0, 600), [this, i] {
@@ -88,27 +91,28 @@
                 m_world.setLimits(i, m_after);
             });
         }
-        for (int i = 0; i < 12; ++i) {
+        for (int i = 0; i < 25; ++i) {
             m_world.at(milliseconds(1000, 28'000), [this] {
                 addFault();
             });
         }
-        for (double at = 0; at < 30; at += m_world.uniform(0, 0.004)) {
+        for (double at = 0; at < 30; at += m_world.uniform(0, 0.003)) {
             m_world.at(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(at)), [this] {
                 operate();
             });
         }
         m_world.runUntil(30s);
     }
-    void check(const QuotaBound &bound) const
+    /// `allowance`: operations above the bound.
+    void check(const QuotaBound &bound, double allowance) const
     {
         for (const auto &[workspace, times] : m_world.admitted) {
             const QuotaLimit before = m_before.at(workspace);
             const QuotaLimit after = m_after.at(workspace);
             const QuotaLimit larger{std::max(before.ratePerSecond, after.ratePerSecond), std::max(before.burst, after.burst)};
-            RC_ASSERT(static_cast<double>(maxInWindow(times, bound.window)) <= allowed(larger, bound));
+            RC_ASSERT(static_cast<double>(maxInWindow(times, bound.window)) <= allowed(larger, bound) + allowance);
             const std::size_t most = maxInWindow(times, bound.window, changeAt + 2s + bound.window);
-            RC_ASSERT(static_cast<double>(most) <= allowed(after, bound));
+            RC_ASSERT(static_cast<double>(most) <= allowed(after, bound) + allowance);
         }
     }
 
@@ -119,13 +123,15 @@
     {
         return std::chrono::milliseconds(static_cast<int>(m_world.uniform(from, to)));
     }
-    /// All of the demand at times goes to one instance, so that tokens move. It is several times the limits.
+    /// The demand changes every 200 ms between none, less than the limit and several times the limit. At times all of it goes to one
+    /// instance, so that tokens move.
     void operate()
     {
-        const auto phase = static_cast<std::size_t>(std::chrono::duration_cast<std::chrono::seconds>(m_world.time).count());
-        const bool isIdle = phase % 7 == 3;
-        if (!isIdle) {
-            const std::size_t home = phase % 2 == 0 ? m_world.pick(m_count) : (phase / 2) % m_count;
+        const auto slot = static_cast<std::size_t>(m_world.time / 200ms);
+        const std::uint64_t hash = stableHash(std::to_string(slot));
+        constexpr std::array<double, 4> levels{0, 0.05, 0.3, 1};
+        if (m_world.uniform(0, 1) < levels[hash % levels.size()]) {
+            const std::size_t home = (hash >> 8U) % 2 == 0 ? m_world.pick(m_count) : (hash >> 16U) % m_count;
             m_world.operate(home, m_world.uniform(0, 1) < 0.1 ? small : large);
         }
     }
@@ -133,13 +139,13 @@
     {
         // The first instances in the order of pools fail most often.
         const std::size_t index = m_world.uniform(0, 1) < 0.5 ? m_world.pick(std::min<std::size_t>(m_count, 3)) : m_world.pick(m_count);
-        switch (m_world.pick(6)) {
+        switch (m_world.pick(7)) {
         case 0:
             m_world.pause(index, milliseconds(50, 4000));
             break;
         case 1:
             m_world.stop(index);
-            m_world.at(m_world.time + milliseconds(10, 2000), [this, index] {
+            m_world.at(m_world.time + milliseconds(10, m_world.uniform(0, 1) < 0.5 ? 200 : 2000), [this, index] {
                 if (!m_world.instances[index].isUp) {
                     m_world.start(index);
                 }
@@ -160,6 +166,7 @@
         case 4:
             if (m_world.instances[index].isUp) {
                 // Views differ by the instances that joined or left within the last moments.
+                m_world.instances[index].orderOffset = m_world.uniform(0, 1) < 0.5 ? 0 : m_world.pick(m_count);
                 m_world.setView(index, static_cast<std::uint32_t>(m_count + m_world.pick(2)), m_world.uniform(0, 1) < 0.8);
             }
             break;
@@ -172,6 +179,7 @@
     }
 
     std::size_t m_count;
+    bool m_areAdvancesAllowed;
     QuotaWorld m_world;
     QuotaLimits m_before;
     QuotaLimits m_after;
@@ -184,20 +192,22 @@
 TEST_CASE("Operations in any window stay within the bound under faults", "[quota]")
 {
     rc::prop("bound of the platform", [](std::uint32_t seed) {
-        Trial trial(seed, platformBound);
+        Trial trial(seed, platformBound, true);
         trial.run();
-        trial.check(platformBound);
+        trial.check(platformBound, 0);
     });
 }
 
-// Guards against margins that rely on the tolerance: without any, the delegation must be kept for longer.
-TEST_CASE("Operations in any window stay within a bound without tolerance", "[quota]")
+// Guards against the same faults with a bound that leaves no room for any of them, so that a single share that counts twice is found.
+TEST_CASE("Operations in any window stay within a bound without tolerance and slack", "[quota]")
 {
-    const QuotaBound strict{5s, 0, 20};
-    rc::prop("bound without tolerance", [&](std::uint32_t seed) {
-        Trial trial(seed, strict);
+    const QuotaBound strict{5s, 0, 0};
+    // Clocks differ by 2 in 1000, and each instance rounds to whole operations.
+    constexpr double allowance = 4;
+    rc::prop("strict bound", [&](std::uint32_t seed) {
+        Trial trial(seed, strict, false);
         trial.run();
-        trial.check(strict);
+        trial.check(strict, allowance);
     });
 }
 
--- a/decisions/test/session/quotaworld.h
+++ b/decisions/test/session/quotaworld.h
@@ -37,6 +37,7 @@
         double clockRate = 1;
         bool mayAdvance = false;
         std::uint32_t knownInstances = 1;
+        std::size_t orderOffset = 0; ///< By which its order of pools differs from that of the others.
         QuotaLimits limits;
     };
     struct Counts {
@@ -111,8 +112,8 @@
         Instance &instance = instances[index];
         instance.knownInstances = knownInstances;
         std::vector<InstanceId> order;
-        for (const std::size_t each : poolOrder) {
-            order.push_back(instances[each].id);
+        for (std::size_t i = 0; i < poolOrder.size(); ++i) {
+            order.push_back(instances[poolOrder[(i + instance.orderOffset) % poolOrder.size()]].id);
         }
         instance.quotas->setFleet(std::move(order), knownInstances, isRegistered, clock(instance));
     }
