--- a/decisions/include/rattanbeam/decisions/session/quotashare.h
+++ b/decisions/include/rattanbeam/decisions/session/quotashare.h
@@ -175,6 +175,7 @@
     static void expireGrants(Account &account, TimePoint now);
     static std::uint32_t heldTokens(const Account &account);
     static bool takeToken(Account &account);
+    static double recentOperations(const Account &account, TimePoint now);
     static double expectedOperations(const Account &account, Duration period, TimePoint now);
     /// How long an operation should wait before it is sent again while the pool does not answer.
     Duration retryWithoutPool(TimePoint now) const;
--- a/decisions/src/session/quotashare.cpp
+++ b/decisions/src/session/quotashare.cpp
@@ -25,6 +25,7 @@
 constexpr Duration lowPeriod = 40ms; // tokens that last shorter than this are replenished
 constexpr double minAheadOperations = 2; // fewer are not worth tokens that may expire unused
 constexpr Duration demandPeriod = 200ms; // weight of the past in the estimate of demand
+constexpr double maxMissedOperations = 5; // after a gap in which so many were expected, the demand has ended or moved to another home
 constexpr Duration returnBefore = 100ms; // tokens that expire sooner and are not expected to be used are given back
 constexpr Duration returnDueBefore = 60ms; // a request is sent for tokens that are to be given back
 constexpr Duration maxSilence = 600ms; // of a pool until another one is chosen
@@ -179,11 +180,19 @@
     return true;
 }
 
-double QuotaShare::expectedOperations(const Account &account, Duration period, TimePoint now)
+double QuotaShare::recentOperations(const Account &account, TimePoint now)
 {
     const double age = std::chrono::duration<double>(now - account.recentAt) / std::chrono::duration<double>(demandPeriod);
-    return account.recentOperations * std::exp(-age)
-           * (std::chrono::duration<double>(period) / std::chrono::duration<double>(demandPeriod));
+    return account.recentOperations * std::exp(-age);
+}
+
+double QuotaShare::expectedOperations(const Account &account, Duration period, TimePoint now)
+{
+    const auto periodsOf = [](Duration duration) {
+        return std::chrono::duration<double>(duration) / std::chrono::duration<double>(demandPeriod);
+    };
+    const bool hasDemandEnded = account.recentOperations * periodsOf(now - account.recentAt) > maxMissedOperations;
+    return hasDemandEnded ? 0 : recentOperations(account, now) * periodsOf(period);
 }
 
 Duration QuotaShare::retryWithoutPool(TimePoint now) const
@@ -197,7 +206,7 @@
         return {};
     }
     Account &account = m_accounts[workspace];
-    account.recentOperations = expectedOperations(account, demandPeriod, now) + 1;
+    account.recentOperations = recentOperations(account, now) + 1;
     account.recentAt = now;
     expireGrants(account, now);
     if (account.waiters.empty() && takeToken(account)) {
