--- a/decisions/include/rattanbeam/decisions/session/quotashare.h
+++ b/decisions/include/rattanbeam/decisions/session/quotashare.h
@@ -120,8 +120,9 @@
         std::uint32_t debt = 0;
         /// When the debt should be settled.
         TimePoint settleAt = TimePoint::max();
-        /// The pool has no token before this time.
+        /// Operations without a token are refused until this time, and the pool expects to have a token at `retryAt`.
         TimePoint emptyUntil = distantPast;
+        TimePoint retryAt = distantPast;
         /// Tokens were spent since the last report to the pool.
         bool hasUnreported = false;
         /// Number of recent operations, older ones weigh less.
@@ -157,6 +158,7 @@
     void chooseTarget(TimePoint now);
     bool isPastAbstention(TimePoint now) const;
     bool ownsShare(TimePoint now) const;
+    bool coversOldGrants() const;
     bool canDelegateTo(const InstanceId &instance, TimePoint now) const;
     /// The pool that is asked for tokens.
     InstanceId askedPool(TimePoint now) const;
@@ -173,6 +175,7 @@
     static void expireGrants(Account &account, TimePoint now);
     static std::uint32_t heldTokens(const Account &account);
     static bool takeToken(Account &account);
+    static double recentOperations(const Account &account, TimePoint now);
     static double expectedOperations(const Account &account, Duration period, TimePoint now);
     /// How long an operation should wait before it is sent again while the pool does not answer.
     Duration retryWithoutPool(TimePoint now) const;
@@ -190,6 +193,8 @@
     /// This instance's share may be counted by this other pool until `m_committedUntil`.
     InstanceId m_committedTo;
     TimePoint m_committedUntil = distantPast;
+    /// When this instance's own pool used its share last.
+    TimePoint m_ownShareUsedAt = distantPast;
     std::map<InstanceId, Peer> m_peers;
     std::map<WorkspaceName, Account> m_accounts;
     std::size_t m_waiting = 0;
--- a/decisions/src/session/quotashare.cpp
+++ b/decisions/src/session/quotashare.cpp
@@ -17,6 +17,7 @@
 constexpr Duration keepaliveInterval = 400ms; // three requests within a delegation period
 constexpr Duration minAskInterval = 20ms;
 constexpr Duration minAheadInterval = 50ms; // between asks for operations that are only expected
+constexpr Duration maxEmptyPeriod = 200ms; // of refusals without asking again: the pool may gain shares at any time
 constexpr Duration askBeforeRetry = 20ms; // so that operations are refused or admitted at once also when the retry time has come
 constexpr Duration settleDelay = 100ms; // until an operation that was admitted in advance is reported
 constexpr Duration answerTimeout = 150ms; // of an ask, after which the tokens are asked for again
@@ -24,6 +25,7 @@
 constexpr Duration lowPeriod = 40ms; // tokens that last shorter than this are replenished
 constexpr double minAheadOperations = 2; // fewer are not worth tokens that may expire unused
 constexpr Duration demandPeriod = 200ms; // weight of the past in the estimate of demand
+constexpr double maxMissedOperations = 5; // after a gap in which so many were expected, the demand has ended or moved to another home
 constexpr Duration returnBefore = 100ms; // tokens that expire sooner and are not expected to be used are given back
 constexpr Duration returnDueBefore = 60ms; // a request is sent for tokens that are to be given back
 constexpr Duration maxSilence = 600ms; // of a pool until another one is chosen
@@ -120,11 +122,20 @@
     return m_isRegistered && isPastAbstention(now) && now >= m_committedUntil;
 }
 
+/// Tokens of a pool remain valid for a while after it has lost a share. The bound leaves room for them only with enough tolerance.
+bool QuotaShare::coversOldGrants() const
+{
+    return m_bound.window * m_bound.tolerance >= grantValidity;
+}
+
 bool QuotaShare::canDelegateTo(const InstanceId &instance, TimePoint now) const
 {
     const auto found = m_peers.find(instance);
     const bool isStampFresh = found != m_peers.end() && found->second.stamp != 0 && now - found->second.stampReceivedAt < delegationPeriod;
-    return isStampFresh && m_isRegistered && isPastAbstention(now) && (m_committedTo == instance || now >= m_committedUntil);
+    const TimePoint ownGrantsEndAt = coversOldGrants() ? m_ownShareUsedAt : m_ownShareUsedAt + grantValidity;
+    const bool isShareFree = now >= m_committedUntil && now >= ownGrantsEndAt;
+    return isStampFresh && m_isRegistered && isPastAbstention(now)
+           && (m_committedTo == instance ? now < m_committedUntil || isShareFree : isShareFree);
 }
 
 InstanceId QuotaShare::askedPool(TimePoint now) const
@@ -135,7 +146,9 @@
 
 void QuotaShare::updateOwnShare(TimePoint now)
 {
-    m_pool.setOwnShare(m_target == m_self && ownsShare(now), now);
+    const bool isUsed = m_target == m_self && ownsShare(now);
+    m_pool.setOwnShare(isUsed, now);
+    m_ownShareUsedAt = isUsed ? now : m_ownShareUsedAt;
 }
 
 void QuotaShare::expireGrants(Account &account, TimePoint now)
@@ -167,11 +180,19 @@
     return true;
 }
 
-double QuotaShare::expectedOperations(const Account &account, Duration period, TimePoint now)
+double QuotaShare::recentOperations(const Account &account, TimePoint now)
 {
     const double age = std::chrono::duration<double>(now - account.recentAt) / std::chrono::duration<double>(demandPeriod);
-    return account.recentOperations * std::exp(-age)
-           * (std::chrono::duration<double>(period) / std::chrono::duration<double>(demandPeriod));
+    return account.recentOperations * std::exp(-age);
+}
+
+double QuotaShare::expectedOperations(const Account &account, Duration period, TimePoint now)
+{
+    const auto periodsOf = [](Duration duration) {
+        return std::chrono::duration<double>(duration) / std::chrono::duration<double>(demandPeriod);
+    };
+    const bool hasDemandEnded = account.recentOperations * periodsOf(now - account.recentAt) > maxMissedOperations;
+    return hasDemandEnded ? 0 : recentOperations(account, now) * periodsOf(period);
 }
 
 Duration QuotaShare::retryWithoutPool(TimePoint now) const
@@ -185,7 +206,7 @@
         return {};
     }
     Account &account = m_accounts[workspace];
-    account.recentOperations = expectedOperations(account, demandPeriod, now) + 1;
+    account.recentOperations = recentOperations(account, now) + 1;
     account.recentAt = now;
     expireGrants(account, now);
     if (account.waiters.empty() && takeToken(account)) {
@@ -193,7 +214,7 @@
         return {};
     }
     if (now < account.emptyUntil) {
-        return {QuotaVerdict::Refused, account.emptyUntil - now};
+        return {QuotaVerdict::Refused, account.retryAt - now};
     }
     if (m_areAdvancesAllowed && account.debt == 0 && account.waiters.empty() && isPastAbstention(now)) {
         account.debt = 1;
@@ -303,9 +324,7 @@
     if (pool != m_self && pool == m_target && canDelegateTo(pool, now)) {
         request.delegates = true;
         // The pool may count this share until the period after it sent the stamp has ended, which is earlier than the time set here.
-        // Tokens of the pool remain valid for a while after that. The bound leaves room for them only with enough tolerance.
-        const bool coversGrants = m_bound.window * m_bound.tolerance >= grantValidity;
-        const Duration margin = coversGrants ? clockMargin : clockMargin + grantValidity;
+        const Duration margin = coversOldGrants() ? clockMargin : clockMargin + grantValidity;
         const TimePoint until = peer->second.stampReceivedAt + delegationPeriod + margin;
         m_committedUntil = m_committedTo == pool ? std::max(m_committedUntil, until) : until;
         m_committedTo = pool;
@@ -418,7 +437,8 @@
         account.grants.push_back({tokens, validUntil});
     }
     if (grant.retryAfter > Duration::zero()) {
-        account.emptyUntil = now + grant.retryAfter;
+        account.emptyUntil = now + std::min(grant.retryAfter, Duration(maxEmptyPeriod));
+        account.retryAt = now + grant.retryAfter;
         account.settleAt = account.debt > 0 ? account.emptyUntil : TimePoint::max();
         endWaiters(account, false, grant.retryAfter);
     }
