A primary that is lost before the first term record is replaced too

Change: after 6 s without a record and without a registered primary, the home writes a first record that names no primary, if it reaches a replica. Such a record begins a change of primary: one conditional write, all members are asked, then the order.

Tests: grouphomefailover_test, "A primary that is lost before the first statement is replaced" (fails without ensureTermExists() in both sections, and in the second without the new record), "A primary that registers some seconds after its replicas is not replaced".

--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -309,6 +309,8 @@
     void releaseConfirmedAnswers(TimePoint now);
     void refuseUnconfirmableAnswers(TimePoint now);
     void ensureTermExists(TimePoint now);
+    std::map<MemberId, Member>::const_iterator registeredPrimary() const;
+    bool hasLostUnrecordedPrimary(TimePoint now) const;
     void ensureListedInTerm(TimePoint now);
     void adoptTerm(const TermRecord &record, TimePoint now);
     void dropSupersededWork(TimePoint now);
@@ -397,6 +399,8 @@
     /// Witnesses that this home has taken out of the term record, or tried to, with the record's revision before that. They are no evidence
     /// unless a later revision names them.
     std::map<MemberId, std::uint64_t> m_droppedWitnesses;
+    /// Since when the service has had neither a term record nor a member registered as primary.
+    TimePoint m_withoutPrimarySince = distantPast;
     /// Since when the term record has named no primary; distantPast if it names one.
     TimePoint m_leaderlessSince = distantPast;
     /// Last time that no reachable replica was fenced.
--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -15,6 +15,9 @@
 constexpr Duration minTermWriteInterval = 300ms; // between attempts to write the first term record, or to list this home in it
 constexpr Duration activityGap = 1000ms; // without requests for this long, a home does not count as in use
 constexpr Duration firstHomeSettleTime = 3000ms; // in which instances that start together get to know each other
+// Without a registered primary for this long, a service that has no term record gets one. Members that start together with the instances
+// register within seconds.
+constexpr Duration primaryRegistrationTimeout = 6000ms;
 constexpr Duration witnessCheckInterval = 1000ms; // between checks whether the term record names the right witnesses
 constexpr Duration witnessReadInterval = 4000ms; // between reads of the term record that keep the witnesses' word valid
 constexpr Duration redirectTime = 1000ms; // after the first failed write of the term record; doubles with each further one
@@ -129,12 +132,29 @@
     if (!m_isFirstHome || m_firstHomeSince == distantPast) {
         m_firstHomeSince = now;
     }
+    if (m_withoutPrimarySince == distantPast || m_term || registeredPrimary() != m_members.end()) {
+        m_withoutPrimarySince = now;
+    }
     const bool isSettledFirstHome = m_isFirstHome && now - m_firstHomeSince > firstHomeSettleTime;
     if (!m_term && (isSettledFirstHome || isInUse(now))) {
         ensureListedInTerm(now);
     }
 }
 
+/// The first member that is registered as primary, or the end.
+std::map<MemberId, GroupHome::Member>::const_iterator GroupHome::registeredPrimary() const
+{
+    return std::find_if(m_members.begin(), m_members.end(), [](const auto &entry) {
+        return entry.second.isRegistered && entry.second.record.isRegisteredAsPrimary;
+    });
+}
+
+/// Whether a service without a term record has lost its primary: none has been registered for a while, but a replica is reachable.
+bool GroupHome::hasLostUnrecordedPrimary(TimePoint now) const
+{
+    return m_withoutPrimarySince != distantPast && now - m_withoutPrimarySince > primaryRegistrationTimeout && !reachableReplicas().empty();
+}
+
 /// Writes this home into the term record, so that a change of primary waits for its lease.
 void GroupHome::ensureListedInTerm(TimePoint now)
 {
@@ -163,15 +183,17 @@
             return instanceNameOf(home) == instanceNameOf(m_self) && home != m_self;
         });
     } else {
-        const auto first = std::find_if(m_members.begin(), m_members.end(), [](const auto &entry) {
-            return entry.second.isRegistered && entry.second.record.isRegisteredAsPrimary;
-        });
-        if (first == m_members.end()) {
+        const auto first = registeredPrimary();
+        if (first == m_members.end() && !hasLostUnrecordedPrimary(now)) {
             return;
         }
         record.service = m_service;
         record.generation = 1;
-        record.primary = first->first;
+        if (first != m_members.end()) {
+            record.primary = first->first;
+        } else {
+            record.term = m_highestLedTerm; // a record without a primary begins a change of primary
+        }
     }
     record.term = std::max(record.term, latestKnownTerm(record.primary));
     if (std::find(record.homes.begin(), record.homes.end(), m_self) == record.homes.end()) {
--- a/decisions/test/session/fakegroup.h
+++ b/decisions/test/session/fakegroup.h
@@ -28,9 +28,10 @@
         HomeReply reply;
     };
 
-    FakeGroup() : home(ServiceName("orders"), "a1/1", GroupHomeLimits(), *this)
+    explicit FakeGroup(const std::vector<MemberRecord> &members = {member("m1", true), member("m2", false), member("m3", false)})
+        : home(ServiceName("orders"), "a1/1", GroupHomeLimits(), *this)
     {
-        home.membersChanged({member("m1", true), member("m2", false), member("m3", false)}, now);
+        home.membersChanged(members, now);
     }
 
     static MemberRecord member(const std::string &id, bool isRegisteredAsPrimary)
@@ -159,6 +160,7 @@
     {
         const auto [record, expectedRevision] = termWrites.back();
         storedTerm = record;
+        completedTermWrites = termWrites.size();
         home.termSeen(record, ++termRevision, now, now);
     }
     /// Brings the group to a healthy state, in which its home is listed in the term record and has evidence of the term.
@@ -229,6 +231,7 @@
     std::vector<SentCommand> sentCommands;
     std::vector<SentReply> replies;
     std::vector<std::pair<TermRecord, std::uint64_t>> termWrites;
+    std::size_t completedTermWrites = 0;
     std::optional<TermRecord> storedTerm;
     std::uint64_t termRevision = 7;
     std::vector<std::pair<MemberId, std::uint64_t>> promotionOrders;
--- a/decisions/test/session/grouphomefailover_test.cpp
+++ b/decisions/test/session/grouphomefailover_test.cpp
@@ -413,4 +413,112 @@
     CHECK(group.replyTo(request.number) == nullptr);
 }
 
+namespace
+{
+
+/// Lets the members register and be reached, and the store show that there is no term record. No request comes.
+void startWithoutRequests(FakeGroup &group)
+{
+    group.statuses[MemberId("m1")].isPrimary = true;
+    for (const char *id : {"m1", "m2", "m3"}) {
+        group.logPositions[MemberId(id)] = {1, 10};
+    }
+    group.home.termSeen(std::nullopt, 0, group.now, group.now);
+    group.advanceTime(20ms);
+    group.answerAll();
+}
+
+/// Runs the group with a store that accepts all writes, until `isDone` or for at most `time`. The members in `silent` are connected but
+/// do not answer.
+template<typename Condition>
+bool runGroup(FakeGroup &group, Duration time, const std::set<MemberId> &silent, Condition isDone)
+{
+    for (Duration elapsed{}; elapsed < time && !isDone(); elapsed += 10ms) {
+        for (;;) {
+            group.finishConnecting();
+            const auto next
+                = std::find_if(group.pendingCommands.begin(), group.pendingCommands.end(), [&](const FakeGroup::SentCommand &each) {
+                      return !silent.contains(group.connectionMembers.at(each.connection));
+                  });
+            if (next == group.pendingCommands.end()) {
+                break;
+            }
+            std::rotate(group.pendingCommands.begin(), next, std::next(next));
+            group.answerNext();
+        }
+        if (group.termWrites.size() > group.completedTermWrites) {
+            group.completeTermWrite();
+        } else if (group.storedTerm) {
+            group.home.termSeen(group.storedTerm, group.termRevision, group.now, group.now);
+        }
+        group.advanceTime(10ms);
+    }
+    return isDone();
+}
+
+void completePromotion(FakeGroup &group)
+{
+    const MemberId chosen = group.promotionOrders.back().first;
+    group.home.promotionAnswered(chosen, PromotionResult::Accepted, group.now);
+    ReplicationStatus &status = group.statuses[chosen];
+    status.isPrimary = true;
+    status.fenceTerm = 0;
+    ++status.term;
+    group.logPositions[chosen] = {status.term, group.logPositions[chosen].position};
+}
+
+} // namespace
+
+// Guards against a service that never gets a primary: only a statement led to the term record without which no change of primary begins.
+TEST_CASE("A primary that is lost before the first statement is replaced", "[grouphomefailover]")
+{
+    FakeGroup group;
+    startWithoutRequests(group);
+    const auto isOrdered = [&] {
+        return !group.promotionOrders.empty();
+    };
+    SECTION("it is lost after its term record was written")
+    {
+        runGroup(group, 4s, {}, isOrdered);
+        REQUIRE(group.home.primary() == MemberId("m1"));
+        crashMember(group, "m1");
+        group.home.peersAnswered(MemberId("m1"), 0, 2, group.now);
+    }
+    SECTION("its registration ends before the instance is settled")
+    {
+        crashMember(group, "m1");
+        group.home.membersChanged({FakeGroup::member("m2", false), FakeGroup::member("m3", false)}, group.now);
+    }
+    REQUIRE(runGroup(group, 12s, {}, isOrdered));
+    completePromotion(group);
+    REQUIRE(runGroup(group, 2s, {}, [&] {
+        return !group.home.primary().isEmpty();
+    }));
+    CHECK(group.home.primary() == group.promotionOrders.back().first);
+    const HomeRequest late = group.writeRequest("w1");
+    group.home.request(late, group.now);
+    REQUIRE(runGroup(group, 1s, {}, [&] {
+        return group.replyTo(late.number) != nullptr;
+    }));
+    CHECK(group.replyTo(late.number)->answer.isSuccess());
+}
+
+// Guards against a promotion in a deployment that starts: replicas may register before their primary.
+TEST_CASE("A primary that registers some seconds after its replicas is not replaced", "[grouphomefailover]")
+{
+    FakeGroup group;
+    group.home.membersChanged({FakeGroup::member("m2", false), FakeGroup::member("m3", false)}, group.now);
+    startWithoutRequests(group);
+    runGroup(group, 5s, {}, [] {
+        return false;
+    });
+    CHECK(group.termWrites.empty());
+    group.home.membersChanged({FakeGroup::member("m1", true), FakeGroup::member("m2", false), FakeGroup::member("m3", false)}, group.now);
+    runGroup(group, 10s, {}, [] {
+        return false;
+    });
+    CHECK(group.home.primary() == MemberId("m1"));
+    CHECK(group.promotionOrders.empty());
+}
+
 } // namespace rattanbeam::decisions::session::test
