With synchronous replicas, no member without acknowledged commits is promoted

The candidate was the best of the replicas that had answered the fence within 500 ms.

Change: the number reaches GroupHomeLimits. A candidate is chosen only if it certainly holds each acknowledged commit: fewer than n of the members that may hold commits have not reported and none reports more, or the old primary has reported its whole log, or the candidate already leads. Members that disappear during the change still count, and the record of the change names them for a home that takes over. If another home held a lease, the members are asked again after all leases have ended. A round waits 4 s, and the change is begun again without end; meanwhile requests for the primary are refused. A slow replica is given 2.5 s to answer. Without synchronous replicas nothing changes.

Tests: grouphomefailover_test and groupschedule_test.

--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -46,6 +46,9 @@
     std::uint32_t reservedConnections = 4;
     /// Attempts for one request, the first included.
     std::uint32_t maxAttempts = 4;
+    /// Number of replicas that have received a commit before it is acknowledged. Above 0, a change of primary waits until the candidate
+    /// certainly holds each acknowledged commit.
+    std::uint32_t synchronousReplicas = 0;
 
     auto operator<=>(const GroupHomeLimits &) const = default;
 };
@@ -244,6 +247,14 @@
         /// Last position that each member has received, as reported while fencing; the highest of its term for a member that
         /// already leads.
         std::map<MemberId, LogPosition> reportedPositions;
+        /// With synchronous replicas only: the members other than `oldPrimary` that may hold acknowledged commits, and the positions that
+        /// members have reported in answer to commands of the current round of fencing.
+        std::set<MemberId> possibleHolders;
+        std::map<MemberId, LogPosition> heardPositions;
+        /// When the current round of fencing began.
+        TimePoint fencingSince = distantPast;
+        /// Whether no other home could still acknowledge commits when the current round of fencing began.
+        bool isFencedAfterLeases = false;
         /// Planned change only: where the demoted primary's log ends.
         std::optional<LogPosition> finalPosition;
         TimePoint lastOrderAt = distantPast;
@@ -327,7 +338,8 @@
     void fenceWitnesses(TimePoint now);
     bool haveLeasesEnded(TimePoint now) const;
     std::vector<MemberId> reachableReplicas() const;
-    std::vector<MemberId> updatedWitnesses(const TermRecord &record) const;
+    std::vector<MemberId> updatedWitnesses(const TermRecord &record);
+    bool mayForgetWitness(const MemberId &witness);
     void setLeaseWitnesses();
     void sampleWatermark(const LogPosition &position, TimePoint sentAt, TimePoint now);
     std::set<MemberId> replicaIds() const;
@@ -339,7 +351,13 @@
     void beginTermWrite(TimePoint now);
     void beginFencing(TimePoint now);
     void addPendingFences();
-    void statusAnsweredWhileFencing(const Member &member, const ReplicationStatus &status, TimePoint now);
+    void addUnheardFences();
+    void awaitAcknowledgedCommits(bool hasCandidate, TimePoint now);
+    void statusAnsweredWhileFencing(const Member &member, const ReplicationStatus &status, TimePoint sentAt, TimePoint now);
+    void oldPrimaryAnswered(const Member &member, const ReplicationStatus &status, TimePoint now);
+    void notePossibleHolders(const TermRecord &record);
+    bool coversAcknowledgedCommits(const LogPosition &position) const;
+    Duration silenceTimeout(const Member &member) const;
     void chooseCandidate(TimePoint now);
     void orderPromotionIfNewest(TimePoint now);
     void completeChange(TimePoint now);
@@ -399,6 +417,8 @@
     /// Witnesses that this home has taken out of the term record, or tried to, with the record's revision before that. They are no evidence
     /// unless a later revision names them.
     std::map<MemberId, std::uint64_t> m_droppedWitnesses;
+    /// With synchronous replicas only: witnesses that have left the group, and the position that the primary had reached by then.
+    std::map<MemberId, LogPosition> m_departedWitnesses;
     /// Since when the service has had neither a term record nor a member registered as primary.
     TimePoint m_withoutPrimarySince = distantPast;
     /// Since when the term record has named no primary; distantPast if it names one.
--- a/decisions/src/session/grouphomeanswers.cpp
+++ b/decisions/src/session/grouphomeanswers.cpp
@@ -281,7 +281,7 @@
     const MemberId id = member.record.id;
     updateFencedWitnesses(id, status, now);
     if (m_change.stage == ChangeStage::Fencing) {
-        statusAnsweredWhileFencing(member, status, now);
+        statusAnsweredWhileFencing(member, status, confirmation.sentAt, now);
         return;
     }
     if (m_change.stage == ChangeStage::AwaitingLead && id == m_change.candidate) {
--- a/decisions/src/session/grouphomecandidates.cpp
+++ b/decisions/src/session/grouphomecandidates.cpp
@@ -17,6 +17,11 @@
 constexpr Duration fenceCheckInterval = 200ms; // between checks that a fenced witness still is
 constexpr Duration earlierOrderTime = 2000ms; // maximum time of a call to the platform and of the promotion that it may have begun
 constexpr Duration lastResortAfter = 5000ms; // without a candidate, one that lacks the latest term is accepted
+// For replicas that may hold acknowledged commits. Other homes take an unfinished change over after 4.5 s, so a longer wait gains nothing.
+constexpr Duration acknowledgedCommitsTimeout = 4000ms;
+// Part of the 4.5 s before a home takes up an unfinished change again that is left out while replicas' answers are awaited.
+constexpr Duration earlyRetryTime = 4000ms;
+constexpr Duration awaitedSilenceTimeout = 2500ms; // a slow replica whose position decides the change is not given up before this
 
 } // namespace
 
@@ -33,6 +38,10 @@
     askHoldersToYield(now);
     m_change.pendingFences.clear();
     m_change.reportedPositions.clear();
+    m_change.heardPositions.clear();
+    m_change.fencingSince = now;
+    m_change.isFencedAfterLeases = m_change.leaseHolders.empty() || m_change.leasesEndedAt != distantPast;
+    notePossibleHolders(*m_term);
     setStage(ChangeStage::Fencing, now + fenceTimeout);
     m_change.finalPosition.reset();
     addPendingFences();
@@ -51,25 +60,106 @@
     }
 }
 
-void GroupHome::statusAnsweredWhileFencing(const Member &member, const ReplicationStatus &status, TimePoint now)
+/// Fences the reachable members that have not reported since the round of fencing began, also those that are leaving or not registered:
+/// they may hold acknowledged commits.
+void GroupHome::addUnheardFences()
+{
+    for (auto &[id, member] : m_members) {
+        const bool isAwaited = id != m_change.oldPrimary && member.health == Health::Up && !m_change.heardPositions.contains(id);
+        if (isAwaited && m_change.pendingFences.insert(id).second) {
+            member.statusAskedAt = distantPast;
+        }
+    }
+}
+
+/// Adds the members that may hold acknowledged commits: those that this home knows and those that the record names. Members that
+/// disappear during the change stay, since a commit may be held by them alone.
+void GroupHome::notePossibleHolders(const TermRecord &record)
+{
+    for (const auto &[id, member] : m_members) {
+        m_change.possibleHolders.insert(id);
+    }
+    m_change.possibleHolders.insert(record.witnesses.begin(), record.witnesses.end());
+    m_change.possibleHolders.erase(m_change.oldPrimary);
+}
+
+/// Whether a member that has received up to `position` certainly holds each acknowledged commit. Every acknowledged commit is held by at
+/// least `synchronousReplicas` of the possible holders, so that one of them has reported it if fewer than that have not reported.
+bool GroupHome::coversAcknowledgedCommits(const LogPosition &position) const
+{
+    if (m_limits.synchronousReplicas == 0 || (m_change.finalPosition && position >= *m_change.finalPosition)) {
+        return true;
+    }
+    if (m_change.isPlanned) {
+        return false; // the replicas are not fenced, and the primary may go on until it has been demoted
+    }
+    const auto unheard = std::count_if(m_change.possibleHolders.begin(), m_change.possibleHolders.end(), [&](const MemberId &id) {
+        return !m_change.heardPositions.contains(id);
+    });
+    const bool isHighest = std::all_of(m_change.heardPositions.begin(), m_change.heardPositions.end(), [&](const auto &heard) {
+        return position >= heard.second;
+    });
+    return !m_change.heardPositions.empty() && static_cast<std::size_t>(unheard) < m_limits.synchronousReplicas && isHighest;
+}
+
+/// How long the member may owe an answer before it counts as silent.
+Duration GroupHome::silenceTimeout(const Member &member) const
+{
+    const bool isAwaited = m_change.stage >= ChangeStage::Fencing && m_limits.synchronousReplicas > 0;
+    return isAwaited && member.record.id != m_change.oldPrimary ? std::max(m_limits.silenceTimeout, awaitedSilenceTimeout)
+                                                                : m_limits.silenceTimeout;
+}
+
+/// The old primary has answered during the fencing. If it is a replica now, its log is final.
+void GroupHome::oldPrimaryAnswered(const Member &member, const ReplicationStatus &status, TimePoint now)
+{
+    if (status.isPrimary) {
+        return;
+    }
+    const bool isSynchronous = m_limits.synchronousReplicas > 0;
+    // A member that has lost its log reports less than it led, and shows nothing about the commits.
+    const bool isWholeLog = status.term >= m_change.oldPrimaryTerm && m_change.oldPrimaryTerm != 0 && status.received >= member.applied;
+    if (isSynchronous && !isWholeLog) {
+        return;
+    }
+    m_change.finalPosition = status.received;
+    if (isSynchronous && !m_change.isPlanned) {
+        m_change.reportedPositions[member.record.id] = status.received;
+        if (m_change.pendingFences.empty()) {
+            chooseCandidate(now);
+        }
+    }
+}
+
+void GroupHome::statusAnsweredWhileFencing(const Member &member, const ReplicationStatus &status, TimePoint sentAt, TimePoint now)
 {
     const MemberId id = member.record.id;
     if (id == m_change.oldPrimary) {
-        if (!status.isPrimary) {
-            m_change.finalPosition = status.received;
-        }
+        oldPrimaryAnswered(member, status, now);
         return;
     }
+    if (m_limits.synchronousReplicas > 0 && sentAt < m_change.fencingSince) {
+        return; // may be older than a commit that was acknowledged before this round of fencing
+    }
     if (status.isPrimary && status.term >= m_change.oldPrimaryTerm && m_change.oldPrimary.isEmpty()) {
         // It already leads: an earlier promotion was not recorded, or none took effect. The leader of the latest term is
         // preferred to all replicas.
         m_change.reportedPositions[id] = {status.term, UINT64_MAX};
+        m_change.heardPositions[id] = {status.term, UINT64_MAX};
+        if (m_change.oldPrimaryTerm != 0) {
+            // It is the old primary, or was chosen by an earlier change: it holds each acknowledged commit.
+            m_change.finalPosition = std::max(m_change.finalPosition.value_or(LogPosition{}), LogPosition{status.term, UINT64_MAX});
+        }
         m_change.pendingFences.erase(id);
         if (m_change.pendingFences.empty()) {
             chooseCandidate(now);
         }
         return;
     }
+    if (m_limits.synchronousReplicas > 0 && !m_change.isPlanned && status.fenceTerm == 0) {
+        return;
+    }
+    m_change.heardPositions[id] = status.received;
     const bool isReady = m_change.isPlanned ? m_change.finalPosition && status.received >= *m_change.finalPosition : status.fenceTerm != 0;
     m_change.reportedPositions[id] = status.received;
     if (m_change.isPlanned && isReady) {
@@ -109,17 +199,21 @@
 std::optional<MemberId> GroupHome::mostAdvancedCandidate(TimePoint now) const
 {
     const bool isLastResort = m_noCandidateSince != distantPast && now - m_noCandidateSince > lastResortAfter;
+    const bool isSynchronous = m_limits.synchronousReplicas > 0;
     std::optional<MemberId> best;
-    LogPosition highest;
+    std::pair<LogPosition, bool> highest; // among equals, members that stay in the group are preferred
     for (const auto &[id, received] : m_change.reportedPositions) {
         const auto member = m_members.find(id);
-        const bool isUp = member != m_members.end() && member->second.health == Health::Up && !member->second.record.isLeaving;
+        const bool isLeaving = member != m_members.end() && member->second.record.isLeaving;
+        // A member that leaves is accepted if it alone holds the latest acknowledged commits.
+        const bool isUp = member != m_members.end() && member->second.health == Health::Up && (!isLeaving || isSynchronous);
         const bool isKnown = isUp && member->second.status;
         const bool isOldLeader = isKnown && member->second.status->isPrimary && !isNewLeader(*member->second.status);
         const bool isFit = isKnown && !isOldLeader && (member->second.status->term >= m_change.oldPrimaryTerm || isLastResort);
-        if (isFit && (!best || received > highest)) {
+        const std::pair merit{received, !isLeaving && id != m_change.oldPrimary};
+        if (isFit && (!best || merit > highest)) {
             best = id;
-            highest = received;
+            highest = merit;
         }
     }
     return best;
@@ -131,16 +225,24 @@
         // A promotion ordered by an earlier change may still take effect: asks all members again after that.
         m_change.haveEarlierOrdersExpired = now - m_change.startedAt >= earlierOrderTime;
         m_change.reportedPositions.clear();
+        m_change.heardPositions.clear();
+        m_change.fencingSince = now;
         addPendingFences();
         m_change.stageDeadline = now + fenceTimeout;
         return;
     }
     const auto best = mostAdvancedCandidate(now);
+    const bool isSynchronous = m_limits.synchronousReplicas > 0;
+    if (isSynchronous && (!best || !coversAcknowledgedCommits(m_change.reportedPositions.at(*best)))) {
+        awaitAcknowledgedCommits(best.has_value(), now);
+        return;
+    }
     if (!best) {
         m_noCandidateSince = m_noCandidateSince == distantPast ? now : m_noCandidateSince;
         abandonChange("no-candidate", now);
         return;
     }
+    const bool isSameCandidate = *best == m_change.candidate;
     m_change.candidate = *best;
     const auto oldPrimary = m_members.find(m_change.oldPrimary);
     const LogPosition received = m_change.reportedPositions.at(*best);
@@ -152,12 +254,36 @@
           {"candidate", best->text()},
           {"fenced", std::to_string(m_change.reportedPositions.size())},
           {"lost_at_most", std::to_string(oldPrimaryPosition > received ? oldPrimaryPosition.position - received.position : 0)}}});
-    // Another home's lease may be based on the candidate's answers up to its fence.
-    m_change.leasesExpireAt = now + m_limits.leaseDuration + m_limits.leaseMargin;
+    if (!isSynchronous || !isSameCandidate || m_change.leasesEndedAt == distantPast) {
+        // Another home's lease may be based on the candidate's answers up to its fence.
+        m_change.leasesExpireAt = now + m_limits.leaseDuration + m_limits.leaseMargin;
+        m_change.leasesEndedAt = distantPast;
+    }
     setStage(ChangeStage::AwaitingLeases, m_change.leasesExpireAt);
     advanceChange(now);
 }
 
+/// No member that can be promoted is known to hold each acknowledged commit: waits for further answers. The service has no primary
+/// meanwhile, since a promotion now could lose commits.
+void GroupHome::awaitAcknowledgedCommits(bool hasCandidate, TimePoint now)
+{
+    if (m_change.stage == ChangeStage::Fencing && m_change.isPlanned && !m_change.finalPosition) {
+        m_change.isPlanned = false; // the primary does not confirm that it was demoted
+        beginFencing(now);
+        return;
+    }
+    if (m_change.stage == ChangeStage::Fencing && now < m_change.fencingSince + acknowledgedCommitsTimeout) {
+        m_change.stageDeadline = now + statusPollInterval;
+        addUnheardFences();
+        return;
+    }
+    if (!hasCandidate && m_noCandidateSince == distantPast) {
+        m_noCandidateSince = now;
+    }
+    abandonChange("acknowledged-commits-not-covered", now);
+    m_change.startedAt = now - earlyRetryTime;
+}
+
 /// Records whether a witness can still be evidence for a lease holder: one that is fenced or leads cannot.
 void GroupHome::updateFencedWitnesses(const MemberId &id, const ReplicationStatus &status, TimePoint now)
 {
@@ -213,6 +339,11 @@
         return;
     }
     m_change.leasesEndedAt = m_change.leasesEndedAt == distantPast ? now : m_change.leasesEndedAt;
+    if (m_limits.synchronousReplicas > 0 && !m_change.isFencedAfterLeases) {
+        // A replica that restarted has lost its fence, and commits that it received since may have been acknowledged by a lease holder.
+        beginFencing(now);
+        return;
+    }
     orderPromotionIfNewest(now);
 }
 
--- a/decisions/src/session/grouphomeconnections.cpp
+++ b/decisions/src/session/grouphomeconnections.cpp
@@ -110,7 +110,7 @@
     }
     member->backoff = std::clamp<Duration>(member->backoff * 2, minBackoff, maxBackoff);
     member->nextConnectAt = now + member->backoff;
-    const bool isConclusive = failure != ConnectFailure::TimedOut || now - member->lastHeardAt > m_limits.silenceTimeout;
+    const bool isConclusive = failure != ConnectFailure::TimedOut || now - member->lastHeardAt > silenceTimeout(*member);
     if (isConclusive && member->health != Health::Down) {
         member->health = Health::Down;
         m_effects.report({"member-down",
--- a/decisions/src/session/grouphomefailover.cpp
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -155,6 +155,11 @@
     }
     m_change.generation = record.generation;
     m_change.witnesses = record.witnesses;
+    if (m_limits.synchronousReplicas > 0 && !m_change.oldPrimary.isEmpty()) {
+        // A home that takes the change over has to know all members that may hold acknowledged commits.
+        notePossibleHolders(record);
+        record.witnesses.assign(m_change.possibleHolders.begin(), m_change.possibleHolders.end());
+    }
     setStage(ChangeStage::WritingTerm, now + termWriteTimeout);
     m_lastTermWriteAt = now;
     m_effects.writeTerm(record, m_termRevision);
--- a/decisions/src/session/grouphomemembers.cpp
+++ b/decisions/src/session/grouphomemembers.cpp
@@ -110,7 +110,7 @@
             = std::any_of(member.connections.all().begin(), member.connections.all().end(), [](const auto &entry) {
                   return entry.second.isAnswerOwed();
               });
-        if (hasUnansweredCommand && now - member.lastHeardAt > m_limits.silenceTimeout) {
+        if (hasUnansweredCommand && now - member.lastHeardAt > silenceTimeout(member)) {
             m_effects.report({"member-silent",
                               true,
                               {{"service", m_service.text()},
--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -230,14 +230,17 @@
 
 /// The witnesses that the record should name: those that it names, and the replicas that are reachable now. If no other home is listed, so
 /// that none relies on them, those that have left the group are left out.
-std::vector<MemberId> GroupHome::updatedWitnesses(const TermRecord &record) const
+std::vector<MemberId> GroupHome::updatedWitnesses(const TermRecord &record)
 {
     const bool isOnlyHolder = std::all_of(record.homes.begin(), record.homes.end(), [&](const std::string &home) {
         return instanceNameOf(home) == instanceNameOf(m_self);
     });
     std::vector<MemberId> witnesses = record.witnesses;
+    std::erase_if(m_departedWitnesses, [&](const auto &departed) {
+        return m_members.contains(departed.first);
+    });
     std::erase_if(witnesses, [&](const MemberId &witness) {
-        return isOnlyHolder && !m_members.contains(witness);
+        return isOnlyHolder && !m_members.contains(witness) && mayForgetWitness(witness);
     });
     for (const MemberId &replica : reachableReplicas()) {
         if (std::find(witnesses.begin(), witnesses.end(), replica) == witnesses.end()) {
@@ -247,6 +250,25 @@
     return witnesses;
 }
 
+/// Whether a change of primary need not wait for a witness that has left the group. With synchronous replicas, it may be the only one that
+/// holds an acknowledged commit until enough of the remaining replicas have received what the primary had when it left.
+bool GroupHome::mayForgetWitness(const MemberId &witness)
+{
+    if (m_limits.synchronousReplicas == 0) {
+        return true;
+    }
+    const auto primary = m_members.find(m_primary);
+    if (primary == m_members.end() || primary->second.applied == LogPosition{}) {
+        return false;
+    }
+    const LogPosition position = m_departedWitnesses.try_emplace(witness, primary->second.applied).first->second;
+    const std::vector<MemberId> replicas = reachableReplicas();
+    const auto holders = std::count_if(replicas.begin(), replicas.end(), [&](const MemberId &replica) {
+        return m_members.at(replica).status->received >= position;
+    });
+    return static_cast<std::size_t>(holders) >= m_limits.synchronousReplicas;
+}
+
 void GroupHome::setLeaseWitnesses()
 {
     std::vector<MemberId> witnesses = m_term->witnesses;
@@ -331,6 +353,7 @@
                        {"homes", std::to_string(record.homes.size())}}});
     if (!m_term || m_term->generation != record.generation) {
         m_droppedWitnesses.clear();
+        m_departedWitnesses.clear();
     }
     if (!m_term) {
         m_redirectUntil = distantPast; // the store has the first record, which this home could not write
--- a/decisions/test/session/grouphomefailover_test.cpp
+++ b/decisions/test/session/grouphomefailover_test.cpp
@@ -521,4 +521,150 @@
     CHECK(group.promotionOrders.empty());
 }
 
+namespace
+{
+
+const MemberId incomplete("m2");
+const MemberId complete("m3");
+
+/// A group in which commits are acknowledged once `synchronousReplicas` replicas have them. Its primary crashes; m3 has all commits, and
+/// m2 lacks some.
+class SynchronousGroup : public FakeGroup
+{
+public:
+    explicit SynchronousGroup(std::uint32_t synchronousReplicas)
+    {
+        GroupHomeLimits limits;
+        limits.synchronousReplicas = synchronousReplicas;
+        home.setLimits(limits);
+        makeHealthy();
+        logPositions[MemberId("m1")] = {1, 20};
+        logPositions[complete] = {1, 20};
+    }
+    void losePrimary()
+    {
+        crashMember(*this, "m1");
+        home.peersAnswered(MemberId("m1"), 0, 2, now);
+        completeTermWrite();
+    }
+    bool runUntilOrdered(Duration time, const std::set<MemberId> &silent)
+    {
+        return runGroup(*this, time, silent, [&] {
+            return !promotionOrders.empty();
+        });
+    }
+};
+
+} // namespace
+
+// Guards against the loss of acknowledged commits: the best of the replicas that had answered within 500 ms was promoted.
+TEST_CASE("With a synchronous replica, no promotion is ordered before the replica that may hold acknowledged commits has answered",
+          "[grouphomefailover]")
+{
+    SynchronousGroup group(1);
+    group.losePrimary();
+    REQUIRE_FALSE(group.runUntilOrdered(2s, {complete}));
+    REQUIRE(group.runUntilOrdered(1s, {}));
+    CHECK(group.promotionOrders.back().first == complete);
+}
+
+TEST_CASE("Without synchronous replicas, a promotion does not wait for a replica that does not answer", "[grouphomefailover]")
+{
+    SynchronousGroup group(0);
+    group.losePrimary();
+    REQUIRE(group.runUntilOrdered(1s, {complete}));
+    CHECK(group.promotionOrders.back().first == incomplete);
+}
+
+TEST_CASE("If each commit is at all replicas, any one of them may be promoted", "[grouphomefailover]")
+{
+    SynchronousGroup group(2);
+    group.losePrimary();
+    CHECK(group.runUntilOrdered(1s, {complete}));
+}
+
+TEST_CASE("Of three replicas, as many must have answered as show every commit", "[grouphomefailover]")
+{
+    const auto replicas = GENERATE(1U, 2U);
+    SynchronousGroup group(replicas);
+    group.home.membersChanged(
+        {FakeGroup::member("m1", true), FakeGroup::member("m2", false), FakeGroup::member("m3", false), FakeGroup::member("m4", false)},
+        group.now);
+    group.logPositions[MemberId("m4")] = {1, 10};
+    group.advanceTime(20ms);
+    group.answerAll();
+    group.losePrimary();
+    const bool isEnough = replicas == 2;
+    CHECK(group.runUntilOrdered(2s, {complete}) == isEnough);
+}
+
+// Guards against the loss of commits that a replica received after a restart had lifted its fence, and that another home acknowledged
+// under its lease.
+TEST_CASE("The replicas are asked again after all leases have ended", "[grouphomefailover]")
+{
+    SynchronousGroup group(1);
+    group.logPositions[incomplete] = {1, 20};
+    TermRecord record = *group.storedTerm;
+    record.homes.emplace_back("b1/1");
+    group.home.termSeen(record, ++group.termRevision, group.now, group.now);
+    group.losePrimary();
+    REQUIRE_FALSE(group.runUntilOrdered(1s, {}));
+    group.statuses[complete].fenceTerm = 0;
+    group.logPositions[complete] = {1, 25};
+    REQUIRE(group.runUntilOrdered(10s, {}));
+    CHECK(group.promotionOrders.back().first == complete);
+}
+
+// Guards against a promotion that loses commits once the only replica that holds them is no longer registered.
+TEST_CASE("A replica that may hold acknowledged commits is awaited also after it has left the group", "[grouphomefailover]")
+{
+    SynchronousGroup group(1);
+    crashMember(group, "m3");
+    group.losePrimary();
+    group.home.membersChanged({FakeGroup::member("m2", false)}, group.now);
+    CHECK_FALSE(group.runUntilOrdered(30s, {}));
+    SECTION("until it is back")
+    {
+        group.downMembers.erase(complete);
+        group.home.membersChanged({FakeGroup::member("m2", false), FakeGroup::member("m3", false)}, group.now);
+        REQUIRE(group.runUntilOrdered(10s, {}));
+        CHECK(group.promotionOrders.back().first == complete);
+    }
+    SECTION("or until the old primary is back")
+    {
+        group.downMembers.erase(MemberId("m1"));
+        group.home.membersChanged({FakeGroup::member("m1", true), FakeGroup::member("m2", false)}, group.now);
+        REQUIRE(runGroup(group, 15s, {}, [&] {
+            return group.home.primary() == MemberId("m1") || !group.promotionOrders.empty();
+        }));
+        CHECK((group.promotionOrders.empty() || group.promotionOrders.back().first == MemberId("m1")));
+    }
+}
+
+// Guards against a change that waits for a member that was taken out of the group long ago.
+TEST_CASE("A replica that left while the primary was up is not awaited once another one has caught up", "[grouphomefailover]")
+{
+    SynchronousGroup group(1);
+    crashMember(group, "m3");
+    group.home.membersChanged({FakeGroup::member("m1", true), FakeGroup::member("m2", false)}, group.now);
+    for (int i = 0; i < 5; ++i) {
+        group.home.request(group.writeRequest("w"), group.now);
+        runGroup(group, 1500ms, {}, [] {
+            return false;
+        });
+    }
+    const bool isCaughtUp = GENERATE(false, true);
+    if (isCaughtUp) {
+        group.logPositions[incomplete] = {1, 20};
+    }
+    for (int i = 0; i < 5; ++i) {
+        group.home.request(group.writeRequest("w"), group.now);
+        runGroup(group, 1500ms, {}, [] {
+            return false;
+        });
+    }
+    group.losePrimary();
+    CHECK(group.runUntilOrdered(5s, {}) == isCaughtUp);
+}
+
 } // namespace rattanbeam::decisions::session::test
--- a/decisions/test/session/groupschedule.h
+++ b/decisions/test/session/groupschedule.h
@@ -25,13 +25,18 @@
 class GroupSchedule
 {
 public:
-    explicit GroupSchedule(std::uint32_t seed) : m_random(seed)
+    /// `synchronousReplicas`: a write is answered only after that many replicas have it, which a promotion must not lose.
+    explicit GroupSchedule(std::uint32_t seed, std::uint32_t synchronousReplicas = 0)
+        : m_random(seed), m_synchronousReplicas(synchronousReplicas)
     {
         for (int i = 0; i < memberCount; ++i) {
             m_members[i].isPrimary = i == 0;
         }
         for (int i = 0; i < homeCount; ++i) {
             m_homes.push_back(std::make_unique<Home>(*this, i));
+            GroupHomeLimits limits;
+            limits.synchronousReplicas = synchronousReplicas;
+            m_homes.back()->groupHome.setLimits(limits);
             m_homes.back()->groupHome.membersChanged(records(), m_now);
         }
     }
@@ -69,7 +74,7 @@
             home->reachesMember.fill(true);
         }
         for (Member &member : m_members) {
-            member.isUp = true;
+            restart(member);
         }
         m_areFaultsEnded = true;
     }
@@ -283,9 +288,14 @@
         member.fenceTerm = 0;
         ++member.process;
     }
-    static void restart(Member &member)
+    void restart(Member &member)
     {
         member.isUp = true;
+        // A replaced primary follows the new one once it has restarted. Without synchronous replicas, the schedules need no such member.
+        const int primary = primaryIndex();
+        if (m_synchronousReplicas > 0 && primary >= 0 && m_members[primary].term > member.term) {
+            member.isPrimary = false;
+        }
     }
 
     /// Index of the member that leads the highest term; -1 if none leads.
@@ -314,6 +324,25 @@
             }
         }
     }
+    /// Copies the primary's log to as many random replicas as a commit needs. Returns whether there were enough.
+    bool replicateSynchronously(const Member &primary)
+    {
+        std::vector<Member *> receivers;
+        for (Member &member : m_members) {
+            if (&member != &primary && member.isUp && !member.isPrimary && member.fenceTerm == 0 && member.term <= primary.term) {
+                receivers.push_back(&member);
+            }
+        }
+        std::shuffle(receivers.begin(), receivers.end(), m_random);
+        if (receivers.size() < m_synchronousReplicas) {
+            return false;
+        }
+        for (std::uint32_t i = 0; i < m_synchronousReplicas; ++i) {
+            receivers[i]->log = primary.log;
+            receivers[i]->term = primary.term;
+        }
+        return true;
+    }
     void promotionOrdered(const MemberId &id, std::uint64_t token)
     {
         if (token < m_highestToken) {
@@ -341,6 +370,10 @@
         for (const Member &each : m_members) {
             highestTerm = std::max(highestTerm, each.term);
         }
+        for (Member &each : m_members) {
+            // Without faults, a replaced primary learns of the new term and follows it.
+            each.isPrimary = each.isPrimary && (m_synchronousReplicas == 0 || !m_areFaultsEnded);
+        }
         member.isPrimary = true;
         member.term = highestTerm + 1;
         member.fenceTerm = 0;
@@ -350,6 +383,11 @@
         for (const auto &[term, id] : member.log) {
             logIds.insert(id);
         }
+        for (const std::string &acknowledged : m_acknowledgedWrites) {
+            if (m_synchronousReplicas > 0 && !logIds.contains(acknowledged)) {
+                recordViolation(acknowledged + " was acknowledged, and a member without it was promoted");
+            }
+        }
         for (auto each = m_acknowledgedWrites.begin(); each != m_acknowledgedWrites.end();) {
             each = logIds.contains(*each) ? std::next(each) : m_acknowledgedWrites.erase(each);
         }
@@ -392,7 +430,9 @@
         Answer answer = Answer::success(SessionPhase::Idle);
         std::optional<ReplicationStatus> status;
         if (each.command.kind == CommandKind::Statement) {
-            runStatement(home, each, member, answer);
+            if (!runStatement(home, each, member, answer)) {
+                return;
+            }
         } else {
             if (each.command.kind == CommandKind::Suspend) {
                 if (member.isPrimary) {
@@ -417,17 +457,18 @@
             }
         });
     }
-    void runStatement(Home &home, const SentCommand &each, Member &member, Answer &answer)
+    /// Returns whether the member answers.
+    bool runStatement(Home &home, const SentCommand &each, Member &member, Answer &answer)
     {
         const Statement &statement = each.command.statement;
         const bool isWrite = statement.kind == StatementKind::Write;
         if (isWrite && !member.isPrimary) {
             answer = Answer::failure(StatementError::ReadOnly, "", SessionPhase::Idle);
-            return;
+            return true;
         }
         if (statement.after && member.position() < *statement.after) {
             answer = Answer::failure(StatementError::Lagging, "", SessionPhase::Idle);
-            return;
+            return true;
         }
         answer.signature = "signed";
         if (isWrite) {
@@ -441,7 +482,7 @@
             if (&member != &m_members[primaryIndex()]) {
                 m_writesAtReplacedPrimary.insert(statement.id);
             }
-            return;
+            return m_synchronousReplicas == 0 || replicateSynchronously(member);
         }
         std::set<std::string> logIds;
         for (const auto &[term, id] : member.log) {
@@ -457,6 +498,7 @@
                 }
             }
         }
+        return true;
     }
 
     void sendRequest()
@@ -518,6 +560,7 @@
     }
 
     std::mt19937 m_random;
+    std::uint32_t m_synchronousReplicas = 0;
     TimePoint m_now{1000s};
     std::array<Member, memberCount> m_members;
     std::vector<std::unique_ptr<Home>> m_homes;
--- a/decisions/test/session/groupschedule_test.cpp
+++ b/decisions/test/session/groupschedule_test.cpp
@@ -40,6 +40,37 @@
     CHECK(promotions > 20);
 }
 
+// Guards against the promotion of a member that lacks acknowledged commits, and against a group that waits for them for good.
+TEST_CASE("No acknowledged write is lost by a promotion if commits are synchronous, under any schedule of faults", "[groupschedule]")
+{
+    std::size_t acknowledged = 0;
+    std::size_t promotions = 0;
+    for (const std::uint32_t synchronousReplicas : {1U, 2U}) {
+        for (std::uint32_t seed = firstSeed; seed < firstSeed + scheduleCount / 2; ++seed) {
+            GroupSchedule schedule(seed, synchronousReplicas);
+            for (int i = 0; i < stepsPerSchedule && schedule.violation().empty(); ++i) {
+                schedule.step();
+            }
+            INFO("seed " << seed << ", synchronous replicas " << synchronousReplicas);
+            REQUIRE(schedule.violation() == std::string());
+            acknowledged += schedule.acknowledgedCount();
+            promotions += schedule.promotionCount();
+            schedule.endFaults();
+            for (int i = 0; i < recoverySteps; ++i) {
+                schedule.step();
+            }
+            const std::size_t before = schedule.acknowledgedCount();
+            for (int i = 0; i < 100; ++i) {
+                schedule.step();
+            }
+            CHECK(schedule.acknowledgedCount() > before + 20);
+            CHECK(schedule.violation() == std::string());
+        }
+    }
+    CHECK(acknowledged > 5'000);
+    CHECK(promotions > 20);
+}
+
 TEST_CASE("A group answers requests again after all faults have ended", "[groupschedule]")
 {
     // In the first schedule, the store is away at the first request.
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -252,6 +252,7 @@
         if (m_directory.configuration()) {
             limits.maxConnections = m_directory.configuration()->maxConnections(name);
             limits.reservedConnections = std::max(3U, limits.maxConnections / 4);
+            limits.synchronousReplicas = m_directory.configuration()->limitsOf(name).synchronousReplicas;
             limits.transactionIdleTimeout = std::chrono::milliseconds(m_directory.configuration()->transactionIdleMs);
         }
         serviceHome.home().setLimits(limits);
