Members that have started, recovered or failed get their slots step by step

A server that has just started was given all its slots at once. At its home, such a member now has a limit on statements in flight, which begins at 1, doubles with rounds of answers in the usual time of their ranks, halves with failures and with answers that become slower with the load, and ends at all slots: with 5 slots after 7 answers. A member in steady state has none. Statements of open transactions, maintenance commands and promotions are not limited.

--- a/decisions/include/rattanbeam/decisions/rankqueue.h
+++ b/decisions/include/rattanbeam/decisions/rankqueue.h
@@ -38,6 +38,8 @@
 struct QueueLimits {
     /// Maximum number of statements that the member runs at once.
     std::size_t slots = 1;
+    /// Pinned work may start while fewer statements than this run, if it is more than `slots`.
+    std::size_t pinnedSlots = 0;
     /// Maximum number of waiting statements of each rank.
     std::size_t capacity = 256;
     /// Maximum wait that new work of a rank may expect; beyond it the queue counts as full. Zero sets no maximum.
--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -3,6 +3,7 @@
 #include "rattanbeam/decisions/rankqueue.h"
 #include "rattanbeam/decisions/session/homemessages.h"
 #include "rattanbeam/decisions/session/memberconnections.h"
+#include "rattanbeam/decisions/session/memberpace.h"
 #include "rattanbeam/decisions/session/primarylease.h"
 #include "rattanbeam/decisions/session/watermark.h"
 
@@ -49,6 +50,8 @@
     /// Number of replicas that have received a commit before it is acknowledged. Above 0, a change of primary waits until the candidate
     /// certainly holds each acknowledged commit.
     std::uint32_t synchronousReplicas = 0;
+    /// Whether members that have started, recovered or failed are given their slots step by step; see MemberPace.
+    bool isPaceEnabled = true;
 
     auto operator<=>(const GroupHomeLimits &) const = default;
 };
@@ -124,6 +127,8 @@
     }
     /// Number of connections to members, those being opened included.
     std::size_t connections() const;
+    /// Maximum number of statements in flight at each registered member.
+    std::map<MemberId, std::size_t> memberLimits() const;
 
 private:
     /// Whether a member can be reached, as the latest attempts have shown.
@@ -142,6 +147,10 @@
         RankQueue queue;
         MemberConnections connections;
         Health health = Health::Unknown;
+        /// Whether it was reached before, so that reaching it again is a recovery.
+        bool wasReached = false;
+        MemberPace pace;
+        TimePoint paceStartedAt = distantPast;
         TimePoint lastHeardAt = distantPast;
         /// When a command that is answered with a status was last sent; distantPast makes the home ask at once.
         TimePoint statusAskedAt = distantPast;
@@ -297,7 +306,12 @@
     void statementFailed(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now);
     void pinOrReleaseConnection(Member &member, MemberConnection &connection, const Work &work, const Answer &answer, TimePoint now);
     void statusAnswered(Member &member, const ReplicationStatus &status, const PrimaryLease::Confirmation &confirmation, TimePoint now);
-    void memberReached(Member &member);
+    void memberReached(Member &member, TimePoint now);
+    void startPace(Member &member, std::string_view cause, TimePoint now);
+    void paceAnswered(Member &member, Rank rank, Duration time, TimePoint now);
+    void paceFailed(Member &member, TimePoint now);
+    void applyPace(Member &member, MemberPace::Change change, std::string_view cause, TimePoint now);
+    static bool hasRoom(const Member &member);
     void setMemberSilent(Member &member, TimePoint now);
     void dispatchQueuedWorkAgain(Member &member, TimePoint now);
     void dropConnection(Member &member, ConnectionNumber number, bool isClosed, StatementError reason, TimePoint now);
@@ -307,7 +321,7 @@
     void maintainConnections(Member &member, TimePoint now);
     void removeMember(const MemberId &id, TimePoint now);
     static bool isRetryable(const Work &work, StatementError error);
-    static void recordFailure(Member &member, TimePoint now);
+    void recordFailure(Member &member, TimePoint now);
     void rollBack(Member &member, ConnectionNumber number, TimePoint now);
     void endOverdueWork(TimePoint now);
     void retryStalledReads(TimePoint now);
@@ -385,6 +399,9 @@
     std::deque<WorkNumber> m_held;
     std::map<TransactionKey, Transaction> m_transactions;
     PreparedNames m_preparedNames;
+    UsualAnswerTimes m_usualAnswerTimes;
+    /// Whether members have been known before: those that appear later have started.
+    bool m_hasKnownMembers = false;
     Watermark m_watermark;
     /// Highest term in any member's status, fences included.
     Term m_highestTerm = 0;
--- a/decisions/src/rankqueue.cpp
+++ b/decisions/src/rankqueue.cpp
@@ -103,7 +103,11 @@
 {
     std::vector<QueueDecision> decisions = std::exchange(m_displaced, {});
     refuseLate(now, decisions);
-    while (m_running.size() < m_limits.slots) {
+    const std::size_t idleConnections = freeConnections;
+    std::size_t started = 0;
+    while (m_running.size() < std::max(m_limits.slots, m_limits.pinnedSlots)) {
+        // Without a connection, only pinned work can start.
+        freeConnections = m_running.size() < m_limits.slots ? idleConnections - started : 0;
         const auto rank = pickRank(now, freeConnections);
         if (!rank) {
             break;
@@ -113,7 +117,7 @@
         m_running[work.id] = {*rank, customer, now};
         ++m_ranks[*rank].running;
         if (!work.isPinned) {
-            --freeConnections;
+            ++started;
             holdConnection(work.customer);
         }
         decisions.push_back({work.id, Outcome{}});
@@ -291,7 +295,7 @@
     for (const Rank rank : allRanks) {
         runningBelow += rankIndex(rank) > rankIndex(urgent) ? m_ranks[rank].running : 0;
     }
-    return runningBelow + 1 < m_limits.slots;
+    return runningBelow + 1 < std::max(m_limits.slots, m_limits.pinnedSlots);
 }
 
 std::optional<Rank> RankQueue::pickRank(TimePoint now, std::size_t freeConnections) const
--- a/decisions/src/session/grouphome.cpp
+++ b/decisions/src/session/grouphome.cpp
@@ -149,8 +149,11 @@
         for (const Rank rank : allRanks) {
             waiting += static_cast<double>(member.queue.waiting(rank));
         }
-        const double cost = waiting / std::max(1U, member.record.slots) + (isPrimary ? primaryPenalty : 0)
-                            + (id == work.avoidedMember ? avoidedPenalty : 0) + failurePenalty * member.recentFailuresAt(now);
+        const double cost
+            = waiting
+                  / static_cast<double>(std::min<std::size_t>(std::max(1U, member.record.slots), member.pace.limit().value_or(SIZE_MAX)))
+              + (isPrimary ? primaryPenalty : 0) + (id == work.avoidedMember ? avoidedPenalty : 0)
+              + failurePenalty * member.recentFailuresAt(now);
         if (best == nullptr || cost < bestCost) {
             best = &member;
             bestCost = cost;
@@ -233,7 +236,7 @@
     for (const Rank rank : allRanks) {
         waiting += member.queue.waiting(rank);
     }
-    if (waiting > member.connections.openingCount() && member.connections.idleCount() == 0 && now >= member.nextConnectAt
+    if (waiting > member.connections.openingCount() && member.connections.idleCount() == 0 && now >= member.nextConnectAt && hasRoom(member)
         && member.connections.totalCount() < connectionLimit(member, now)) {
         openConnection(member, now);
     }
--- a/decisions/src/session/grouphomeanswers.cpp
+++ b/decisions/src/session/grouphomeanswers.cpp
@@ -33,7 +33,7 @@
     connection->commands.pop_front();
     connection->isAwaitingAnswer = false;
     connection->isSilent = false;
-    memberReached(*member);
+    memberReached(*member, now);
     if (answer.position) {
         member->applied = std::max(member->applied, *answer.position);
         if (member->record.id == m_primary) {
@@ -111,6 +111,7 @@
     }
     const Work work = found->second;
     const TimePoint sentAt = connection.sentAt;
+    paceAnswered(member, work.request.rank, now - sentAt, now);
     pinOrReleaseConnection(member, connection, work, answer, now);
     HomeReply reply;
     reply.answer = answer;
@@ -227,6 +228,7 @@
 {
     member.recentFailures = member.recentFailuresAt(now) + 1;
     member.lastFailedAt = now;
+    paceFailed(member, now);
 }
 
 void GroupHome::rollBack(Member &member, ConnectionNumber number, TimePoint now)
--- a/decisions/src/session/grouphomeconnections.cpp
+++ b/decisions/src/session/grouphomeconnections.cpp
@@ -67,7 +67,7 @@
     connection->idleSince = now;
     member->lastHeardAt = now;
     member->backoff = {};
-    memberReached(*member);
+    memberReached(*member, now);
     member->peerAnswers.reset();
     startQueuedWork(*member, now);
     if (member->health == Health::Up && now - member->statusAskedAt >= m_limits.statusInterval) {
@@ -76,12 +76,16 @@
     releaseHeld(now);
 }
 
-void GroupHome::memberReached(Member &member)
+void GroupHome::memberReached(Member &member, TimePoint now)
 {
     if (member.health != Health::Up) {
         member.health = Health::Up;
         member.statusAskedAt = distantPast;
         m_effects.report({"member-reached", false, {{"service", m_service.text()}, {"member", member.record.id.text()}}});
+        if (member.wasReached) {
+            startPace(member, "recovered", now);
+        }
+        member.wasReached = true;
     }
 }
 
--- a/decisions/src/session/grouphomemembers.cpp
+++ b/decisions/src/session/grouphomemembers.cpp
@@ -16,10 +16,17 @@
 constexpr int stallPercent = 60; // of its latency objective, after which an unanswered read counts as stalled
 constexpr int primaryStallPercent = 120; // the same for a read that only the primary can serve
 
-QueueLimits queueLimits(const MemberRecord &record)
+/// Number of statements that may be in flight at a member in steady state.
+std::size_t steadyLimit(const MemberRecord &record)
+{
+    return std::max(1U, record.slots) + pipelinedStatements;
+}
+
+QueueLimits queueLimits(const MemberRecord &record, std::optional<std::size_t> paceLimit = {})
 {
     QueueLimits limits;
-    limits.slots = std::max(1U, record.slots) + pipelinedStatements;
+    limits.pinnedSlots = steadyLimit(record); // open transactions hold connections and locks, and are not to wait
+    limits.slots = std::min(limits.pinnedSlots, paceLimit.value_or(limits.pinnedSlots));
     limits.weights[Rank::Urgent] = 30;
     limits.weights[Rank::Interactive] = 20;
     limits.weights[Rank::Batch] = 5;
@@ -60,7 +67,11 @@
         }
         member.record = record;
         member.isRegistered = true;
+        if (isNew && m_hasKnownMembers) {
+            startPace(member, "started", now);
+        }
     }
+    m_hasKnownMembers = m_hasKnownMembers || !m_members.empty();
     for (auto &[id, member] : m_members) {
         if (!registeredIds.contains(id) && member.isRegistered) {
             member.isRegistered = false;
@@ -85,6 +96,73 @@
     }
 }
 
+void GroupHome::startPace(Member &member, std::string_view cause, TimePoint now)
+{
+    if (m_limits.isPaceEnabled) {
+        applyPace(member, member.pace.start(steadyLimit(member.record)), cause, now);
+    }
+}
+
+void GroupHome::paceAnswered(Member &member, Rank rank, Duration time, TimePoint now)
+{
+    if (member.pace.limit()) {
+        applyPace(member, member.pace.answered(m_usualAnswerTimes.ratioTo(rank, time)), "answers", now);
+    } else {
+        m_usualAnswerTimes.answered(rank, time);
+        member.pace.answered(1);
+    }
+}
+
+void GroupHome::paceFailed(Member &member, TimePoint now)
+{
+    if (m_limits.isPaceEnabled) {
+        applyPace(member, member.pace.failed(steadyLimit(member.record)), "failures", now);
+    }
+}
+
+/// Passes a changed limit to the member's queue, and reports where a limit starts and where it ends.
+void GroupHome::applyPace(Member &member, MemberPace::Change change, std::string_view cause, TimePoint now)
+{
+    if (change == MemberPace::Change::None) {
+        return;
+    }
+    member.queue.setLimits(queueLimits(member.record, member.pace.limit()));
+    if (change == MemberPace::Change::Started) {
+        member.paceStartedAt = now;
+        m_effects.report({"member-limited",
+                          false,
+                          {{"service", m_service.text()},
+                           {"member", member.record.id.text()},
+                           {"cause", std::string(cause)},
+                           {"limit", std::to_string(member.pace.limit().value_or(0))},
+                           {"slots", std::to_string(steadyLimit(member.record))}}});
+    } else if (change == MemberPace::Change::Ended) {
+        m_effects.report({"member-limit-ended",
+                          false,
+                          {{"service", m_service.text()},
+                           {"member", member.record.id.text()},
+                           {"limited_ms", std::to_string(millisecondsUntil(now, member.paceStartedAt))}}});
+    }
+}
+
+/// Whether another connection could be used now: while it is opened it occupies a slot of the member.
+bool GroupHome::hasRoom(const Member &member)
+{
+    const auto limit = member.pace.limit();
+    return !limit || member.queue.running() + member.connections.openingCount() < *limit;
+}
+
+std::map<MemberId, std::size_t> GroupHome::memberLimits() const
+{
+    std::map<MemberId, std::size_t> limits;
+    for (const auto &[id, member] : m_members) {
+        if (member.isRegistered) {
+            limits[id] = member.pace.limit().value_or(steadyLimit(member.record));
+        }
+    }
+    return limits;
+}
+
 bool GroupHome::isReachable(const MemberId &id) const
 {
     const auto found = m_members.find(id);
@@ -167,6 +245,7 @@
         const bool isStarted = member != m_members.end() && work.connection && member->second.connections.find(*work.connection) != nullptr
                                && member->second.connections.find(*work.connection)->work == number;
         if (isStarted) {
+            paceFailed(member->second, now);
             dropConnection(member->second, *work.connection, false, StatementError::InDoubt, now);
         } else if (member != m_members.end()) {
             member->second.queue.cancel(number);
--- a/decisions/test/rankqueue_test.cpp
+++ b/decisions/test/rankqueue_test.cpp
@@ -465,4 +465,26 @@
     }
 }
 
+// Guards against open transactions, which hold locks, that wait while a member gets its slots step by step.
+TEST_CASE("Pinned work starts beyond the slots that other work may use", "[rankqueue]")
+{
+    QueueLimits limits = makeLimits(1);
+    limits.pinnedSlots = 3;
+    RankQueue queue(limits);
+    const TimePoint now{1000s};
+    for (WorkId id = 1; id <= 6; ++id) {
+        const bool isPinned = id > 2;
+        REQUIRE_FALSE(queue.offer({id, Rank::Urgent, CustomerId("a"), now + 1s, ampleConnections, isPinned}, now));
+    }
+    std::size_t pinned = 0;
+    std::size_t other = 0;
+    for (const QueueDecision &decision : queue.advance(now, ampleConnections)) {
+        REQUIRE(decision.isStart());
+        ++(decision.id > 2 ? pinned : other);
+    }
+    CHECK(pinned + other == 3);
+    CHECK(pinned >= 2);
+    CHECK(queue.advance(now, ampleConnections).empty());
+}
+
 } // namespace rattanbeam::decisions::test
--- a/decisions/test/session/grouphome_test.cpp
+++ b/decisions/test/session/grouphome_test.cpp
@@ -571,4 +571,138 @@
     CHECK(group.termReads > readsBefore);
 }
 
+namespace
+{
+
+constexpr std::uint32_t manySlots = 5;
+
+std::vector<MemberRecord> membersWithSlots(std::uint64_t replicaIncarnation)
+{
+    std::vector<MemberRecord> members{FakeGroup::member("m1", true), FakeGroup::member("m2", false), FakeGroup::member("m3", false)};
+    for (MemberRecord &member : members) {
+        member.slots = manySlots;
+    }
+    members.back().incarnation = replicaIncarnation;
+    return members;
+}
+
+/// A group under more writes than its primary can run at once.
+class LoadedGroup : public FakeGroup
+{
+public:
+    LoadedGroup() : FakeGroup(membersWithSlots(1))
+    {
+        makeHealthy();
+        run(1s);
+        events.clear();
+    }
+    /// Offers 8 writes every 10 ms. The primary answers those that it has got within 10 ms.
+    void run(Duration time)
+    {
+        for (Duration elapsed{}; elapsed < time; elapsed += 10ms) {
+            for (int i = 0; i < 8; ++i) {
+                home.request(writeRequest("load"), now);
+            }
+            noteLimit();
+            answerSent();
+            advanceTime(10ms);
+        }
+    }
+    void noteLimit()
+    {
+        const std::size_t limit = home.memberLimits().at(MemberId("m1"));
+        const std::size_t inFlight = statementsInFlight();
+        maxInFlight = std::max(maxInFlight, inFlight);
+        inFlightOverLimit += inFlight > limit ? 1 : 0;
+        if (limits != nullptr && isReported("member-limited") && (limits->empty() || limits->back() != limit)) {
+            limits->push_back(limit);
+        }
+    }
+    std::size_t statementsInFlight() const
+    {
+        return static_cast<std::size_t>(std::count_if(pendingCommands.begin(), pendingCommands.end(), [](const SentCommand &each) {
+            return each.command.kind == CommandKind::Statement;
+        }));
+    }
+    /// Answers the commands that have been sent by now, but not those that follow from the answers.
+    void answerSent()
+    {
+        finishConnecting();
+        for (std::size_t count = pendingCommands.size(); count > 0 && !pendingCommands.empty(); --count) {
+            answerNext();
+        }
+        if (storedTerm && termWrites.size() > completedTermWrites) {
+            completeTermWrite();
+        }
+        home.termSeen(storedTerm, termRevision, now, now);
+    }
+    /// The primary cannot be reached for a moment.
+    void interruptPrimary()
+    {
+        downMembers.insert(MemberId("m1"));
+        const auto connections = connectionMembers;
+        for (const auto &[connection, owner] : connections) {
+            if (owner == MemberId("m1")) {
+                home.connectionFailed(connection, ConnectFailure::Lost, now);
+            }
+        }
+        finishConnecting();
+        home.peersAnswered(MemberId("m1"), 1, 0, now); // it is not replaced
+        downMembers.clear();
+        run(1500ms); // the home redirects its requests for a second, and connects to the member again
+    }
+    bool isReported(const std::string &event) const
+    {
+        return std::find(events.begin(), events.end(), event) != events.end();
+    }
+
+    std::size_t maxInFlight = 0;
+    int inFlightOverLimit = 0;
+    /// If set, gets the limits of the primary, each once, since the first one.
+    std::vector<std::size_t> *limits = nullptr;
+};
+
+} // namespace
+
+// Guards against a limit on members that merely carry full load.
+TEST_CASE("A healthy member under full load is never limited", "[grouphome]")
+{
+    LoadedGroup group;
+    group.maxInFlight = 0;
+    group.run(2s);
+    CHECK(group.maxInFlight > manySlots);
+    CHECK_FALSE(group.isReported("member-limited"));
+}
+
+// Guards against a flood at a server whose caches are cold, and against one that is left idle.
+TEST_CASE("A member that recovers under full load gets its slots step by step", "[grouphome]")
+{
+    LoadedGroup group;
+    std::vector<std::size_t> limits;
+    group.limits = &limits;
+    group.interruptPrimary();
+    REQUIRE(group.isReported("member-limited"));
+    REQUIRE(group.isReported("member-limit-ended"));
+    CHECK(limits == std::vector<std::size_t>{1, 2, 4, manySlots + 1});
+    CHECK(group.inFlightOverLimit == 0);
+}
+
+TEST_CASE("A member that has restarted is limited, and the others are not", "[grouphome]")
+{
+    LoadedGroup group;
+    group.home.membersChanged(membersWithSlots(2), group.now);
+    CHECK(group.home.memberLimits().at(MemberId("m3")) == 1);
+    CHECK(group.home.memberLimits().at(MemberId("m1")) == manySlots + 1);
+}
+
+TEST_CASE("Members are not limited if the setting is off", "[grouphome]")
+{
+    LoadedGroup group;
+    GroupHomeLimits limits;
+    limits.isPaceEnabled = false;
+    group.home.setLimits(limits);
+    group.interruptPrimary();
+    CHECK_FALSE(group.isReported("member-limited"));
+}
+
 } // namespace rattanbeam::decisions::session::test
--- a/sessions/include/rattanbeam/sessions/internal/homeservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/homeservice.h
@@ -71,6 +71,8 @@
     /// Number of connections to members, those being opened included.
     std::size_t connections() const;
     std::size_t openTransactions() const;
+    /// Maximum number of statements in flight at each member of the services whose home is here.
+    std::map<ServiceName, std::map<MemberId, std::size_t>> memberLimits() const;
 
 private:
     class ServiceHome;
--- a/sessions/include/rattanbeam/sessions/sessionsettings.h
+++ b/sessions/include/rattanbeam/sessions/sessionsettings.h
@@ -33,6 +33,8 @@
     std::chrono::milliseconds grace{};
     /// Processor share times the relative speed of the core, in thousandths of a core.
     std::uint32_t processorMilli = 1000;
+    /// Whether members that have started, recovered or failed are given their slots step by step.
+    bool isPaceEnabled = true;
     kernel::LogLevel logLevel = kernel::LogLevel::Info;
     /// Maximum number of log lines per second, and as many again for warnings. Successful requests may use a tenth of it.
     std::uint32_t logLinesPerSecond = 0;
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -249,6 +249,7 @@
             continue;
         }
         GroupHomeLimits limits;
+        limits.isPaceEnabled = m_settings.isPaceEnabled;
         if (m_directory.configuration()) {
             limits.maxConnections = m_directory.configuration()->maxConnections(name);
             limits.reservedConnections = std::max(3U, limits.maxConnections / 4);
@@ -400,4 +401,13 @@
     return total;
 }
 
+std::map<ServiceName, std::map<MemberId, std::size_t>> HomeService::memberLimits() const
+{
+    std::map<ServiceName, std::map<MemberId, std::size_t>> limits;
+    for (const auto &[name, serviceHome] : m_serviceHomes) {
+        limits[name] = serviceHome->home().memberLimits();
+    }
+    return limits;
+}
+
 } // namespace rattanbeam::sessions::internal
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -39,6 +39,23 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
 }
 
+/// The text as the value of a metric's label.
+std::string labelText(const std::string &text)
+{
+    std::string escaped;
+    for (const char character : text) {
+        if (character == '\n') {
+            escaped += "\\n";
+            continue;
+        }
+        if (character == '"' || character == '\\') {
+            escaped += '\\';
+        }
+        escaped += character;
+    }
+    return escaped;
+}
+
 } // namespace
 
 class SessionInstance::Implementation
@@ -153,6 +170,12 @@
     text << "rattanbeam_sessions " << m_implementation->entry.sessions() << '\n';
     text << "rattanbeam_member_connections " << m_implementation->homes.connections() << '\n';
     text << "rattanbeam_open_transactions " << m_implementation->homes.openTransactions() << '\n';
+    for (const auto &[service, limits] : m_implementation->homes.memberLimits()) {
+        for (const auto &[member, limit] : limits) {
+            text << "rattanbeam_member_limit{service=\"" << labelText(service.text()) << "\",member=\"" << labelText(member.text())
+                 << "\"} " << limit << '\n';
+        }
+    }
     return text.str();
 }
 
--- a/sessions/src/sessionsettings.cpp
+++ b/sessions/src/sessionsettings.cpp
@@ -86,6 +86,7 @@
     settings.grace = reader.duration("limits", "grace", {500, 600'000}, 6s);
     settings.configurationBound = reader.duration("limits", "configuration-bound", {500, 600'000}, 3s);
     settings.processorMilli = readProcessorMilli(reader);
+    settings.isPaceEnabled = reader.choice("pace", "enabled", {"on", "off"}, "on") == "on";
     const std::string level = reader.choice("log", "level", {"debug", "info", "warning", "error"}, "info");
     settings.logLevel = level == "debug"     ? kernel::LogLevel::Debug
                         : level == "warning" ? kernel::LogLevel::Warning
--- a/sessions/test/sessioninstance_test.cpp
+++ b/sessions/test/sessioninstance_test.cpp
@@ -215,6 +215,9 @@
     CHECK_FALSE(parseSessionSettings(validSettings + "[limits]\ngrce = 6s\n"));
     CHECK(parseSessionSettings(validSettings + "[limits]\nprocessor-share = 0.25\nprocessor-speed = 2\n")->processorMilli == 500);
     CHECK_FALSE(parseSessionSettings(validSettings + "[limits]\nprocessor-share = 0\n"));
+    CHECK(parseSessionSettings(validSettings)->isPaceEnabled);
+    CHECK_FALSE(parseSessionSettings(validSettings + "[pace]\nenabled = off\n")->isPaceEnabled);
+    CHECK_FALSE(parseSessionSettings(validSettings + "[pace]\nenabled = maybe\n"));
     CHECK_FALSE(parseSessionSettings(validSettings + "[limits]\nprocessor-share = 1e\n"));
     CHECK_FALSE(parseSessionSettings("[interface]\nkind = sessions\n"));
     const auto error = parseSessionSettings(validSettings + "[peers]\nseeds = 10.0.0.1\n");
