--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -3,6 +3,7 @@
 #include "rattanbeam/decisions/rankqueue.h"
 #include "rattanbeam/decisions/session/homemessages.h"
 #include "rattanbeam/decisions/session/memberconnections.h"
+#include "rattanbeam/decisions/session/memberpace.h"
 #include "rattanbeam/decisions/session/primarylease.h"
 #include "rattanbeam/decisions/session/watermark.h"
 
@@ -46,6 +47,11 @@
     std::uint32_t reservedConnections = 4;
     /// Attempts for one request, the first included.
     std::uint32_t maxAttempts = 4;
+    /// Number of replicas that have received a commit before it is acknowledged. Above 0, a change of primary waits until the candidate
+    /// certainly holds each acknowledged commit.
+    std::uint32_t synchronousReplicas = 0;
+    /// Whether members that have started, recovered or failed are given their slots step by step; see MemberPace.
+    bool isPaceEnabled = true;
 
     auto operator<=>(const GroupHomeLimits &) const = default;
 };
@@ -134,6 +140,8 @@
     {
         return m_connectionCounters;
     }
+    /// Maximum number of statements in flight at each registered member.
+    std::map<MemberId, std::size_t> memberLimits() const;
 
 private:
     /// Whether a member can be reached, as the latest attempts have shown.
@@ -152,6 +160,10 @@
         RankQueue queue;
         MemberConnections connections;
         Health health = Health::Unknown;
+        /// Whether it was reached before, so that reaching it again is a recovery.
+        bool wasReached = false;
+        MemberPace pace;
+        TimePoint paceStartedAt = distantPast;
         TimePoint lastHeardAt = distantPast;
         /// When a command that is answered with a status was last sent; distantPast makes the home ask at once.
         TimePoint statusAskedAt = distantPast;
@@ -271,6 +283,14 @@
         /// Last position that each member has received, as reported while fencing; the highest of its term for a member that
         /// already leads.
         std::map<MemberId, LogPosition> reportedPositions;
+        /// With synchronous replicas only: the members other than `oldPrimary` that may hold acknowledged commits, and the positions that
+        /// members have reported in answer to commands of the current round of fencing.
+        std::set<MemberId> possibleHolders;
+        std::map<MemberId, LogPosition> heardPositions;
+        /// When the current round of fencing began.
+        TimePoint fencingSince = distantPast;
+        /// Whether no other home could still acknowledge commits when the current round of fencing began.
+        bool isFencedAfterLeases = false;
         /// Planned change only: where the demoted primary's log ends.
         std::optional<LogPosition> finalPosition;
         TimePoint lastOrderAt = distantPast;
@@ -322,7 +342,12 @@
     void statementFailed(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now);
     void pinOrReleaseConnection(Member &member, MemberConnection &connection, const Work &work, const Answer &answer, TimePoint now);
     void statusAnswered(Member &member, const ReplicationStatus &status, const PrimaryLease::Confirmation &confirmation, TimePoint now);
-    void memberReached(Member &member);
+    void memberReached(Member &member, TimePoint now);
+    void startPace(Member &member, std::string_view cause, TimePoint now);
+    void paceAnswered(Member &member, Rank rank, Duration time, TimePoint now);
+    void paceFailed(Member &member, TimePoint now);
+    void applyPace(Member &member, MemberPace::Change change, std::string_view cause, TimePoint now);
+    static bool hasRoom(const Member &member);
     void setMemberSilent(Member &member, TimePoint now);
     void dispatchQueuedWorkAgain(Member &member, TimePoint now);
     void dropConnection(Member &member, ConnectionNumber number, bool isClosed, StatementError reason, TimePoint now);
@@ -332,7 +357,7 @@
     void maintainConnections(Member &member, TimePoint now);
     void removeMember(const MemberId &id, TimePoint now);
     static bool isRetryable(const Work &work, StatementError error);
-    static void recordFailure(Member &member, TimePoint now);
+    void recordFailure(Member &member, TimePoint now);
     void rollBack(Member &member, ConnectionNumber number, TimePoint now);
     void endOverdueWork(TimePoint now);
     void retryStalledReads(TimePoint now);
@@ -345,6 +370,8 @@
     void releaseConfirmedAnswers(TimePoint now);
     void refuseUnconfirmableAnswers(TimePoint now);
     void ensureTermExists(TimePoint now);
+    std::map<MemberId, Member>::const_iterator registeredPrimary() const;
+    bool hasLostUnrecordedPrimary(TimePoint now) const;
     void ensureListedInTerm(TimePoint now);
     void adoptTerm(const TermRecord &record, TimePoint now);
     void dropSupersededWork(TimePoint now);
@@ -361,7 +388,8 @@
     void fenceWitnesses(TimePoint now);
     bool haveLeasesEnded(TimePoint now) const;
     std::vector<MemberId> reachableReplicas() const;
-    std::vector<MemberId> updatedWitnesses(const TermRecord &record) const;
+    std::vector<MemberId> updatedWitnesses(const TermRecord &record);
+    bool mayForgetWitness(const MemberId &witness);
     void setLeaseWitnesses();
     void sampleWatermark(const LogPosition &position, TimePoint sentAt, TimePoint now);
     std::set<MemberId> replicaIds() const;
@@ -373,7 +401,13 @@
     void beginTermWrite(TimePoint now);
     void beginFencing(TimePoint now);
     void addPendingFences();
-    void statusAnsweredWhileFencing(const Member &member, const ReplicationStatus &status, TimePoint now);
+    void addUnheardFences();
+    void awaitAcknowledgedCommits(bool hasCandidate, TimePoint now);
+    void statusAnsweredWhileFencing(const Member &member, const ReplicationStatus &status, TimePoint sentAt, TimePoint now);
+    void oldPrimaryAnswered(const Member &member, const ReplicationStatus &status, TimePoint now);
+    void notePossibleHolders(const TermRecord &record);
+    bool coversAcknowledgedCommits(const LogPosition &position) const;
+    Duration silenceTimeout(const Member &member) const;
     void chooseCandidate(TimePoint now);
     void orderPromotionIfNewest(TimePoint now);
     void completeChange(TimePoint now);
@@ -406,6 +440,9 @@
     std::deque<WorkNumber> m_held;
     std::map<TransactionKey, Transaction> m_transactions;
     PreparedNames m_preparedNames;
+    UsualAnswerTimes m_usualAnswerTimes;
+    /// Whether members have been known before: those that appear later have started.
+    bool m_hasKnownMembers = false;
     Watermark m_watermark;
     /// Highest term in any member's status, fences included.
     Term m_highestTerm = 0;
@@ -438,6 +475,10 @@
     /// Witnesses that this home has taken out of the term record, or tried to, with the record's revision before that. They are no evidence
     /// unless a later revision names them.
     std::map<MemberId, std::uint64_t> m_droppedWitnesses;
+    /// With synchronous replicas only: witnesses that have left the group, and the position that the primary had reached by then.
+    std::map<MemberId, LogPosition> m_departedWitnesses;
+    /// Since when the service has had neither a term record nor a member registered as primary.
+    TimePoint m_withoutPrimarySince = distantPast;
     /// Since when the term record has named no primary; distantPast if it names one.
     TimePoint m_leaderlessSince = distantPast;
     /// Last time that no reachable replica was fenced.
--- a/decisions/src/session/grouphome.cpp
+++ b/decisions/src/session/grouphome.cpp
@@ -157,7 +157,8 @@
         for (const Rank rank : allRanks) {
             waiting += static_cast<double>(member.queue.waiting(rank));
         }
-        const double cost = waiting / std::max(1U, member.record.slots) + (isPrimary ? primaryPenalty : 0)
+        const std::size_t slots = std::min<std::size_t>(std::max(1U, member.record.slots), member.pace.limit().value_or(SIZE_MAX));
+        const double cost = waiting / static_cast<double>(slots) + (isPrimary ? primaryPenalty : 0)
                             + (id == work.avoidedMember ? avoidedPenalty : 0) + failurePenalty * member.recentFailuresAt(now)
                             + openingCost(member, work.request.workspace, now);
         if (best == nullptr || cost < bestCost) {
@@ -256,7 +257,7 @@
     for (const Rank rank : allRanks) {
         waiting += member.queue.waiting(rank);
     }
-    if (waiting > member.connections.openingCount() && member.connections.idleCount() == 0 && now >= member.nextConnectAt
+    if (waiting > member.connections.openingCount() && member.connections.idleCount() == 0 && now >= member.nextConnectAt && hasRoom(member)
         && member.connections.totalCount() < connectionLimit(member, now)) {
         openConnection(member, WorkspaceName(), now);
     }
--- a/decisions/src/session/grouphomeconnections.cpp
+++ b/decisions/src/session/grouphomeconnections.cpp
@@ -163,7 +163,7 @@
     member->lastHeardAt = now;
     member->backoff = {};
     member->overloads = 0;
-    memberReached(*member);
+    memberReached(*member, now);
     member->peerAnswers.reset();
     if (connection->work && m_work.contains(*connection->work)) {
         sendWork(*member, *connection, *connection->work, now);
@@ -177,12 +177,16 @@
     releaseHeld(now);
 }
 
-void GroupHome::memberReached(Member &member)
+void GroupHome::memberReached(Member &member, TimePoint now)
 {
     if (member.health != Health::Up) {
         member.health = Health::Up;
         member.statusAskedAt = distantPast;
         m_effects.report({"member-reached", false, {{"service", m_service.text()}, {"member", member.record.id.text()}}});
+        if (member.wasReached) {
+            startPace(member, "recovered", now);
+        }
+        member.wasReached = true;
     }
 }
 
@@ -241,7 +245,7 @@
         member->backoff = std::clamp<Duration>(member->backoff * 2, minBackoff, maxBackoff);
         member->nextConnectAt = now + member->backoff;
     }
-    const bool isConclusive = failure != ConnectFailure::TimedOut || now - member->lastHeardAt > m_limits.silenceTimeout;
+    const bool isConclusive = failure != ConnectFailure::TimedOut || now - member->lastHeardAt > silenceTimeout(*member);
     if (isConclusive && member->health != Health::Down) {
         member->health = Health::Down;
         m_effects.report({"member-down",
--- a/sessions/include/rattanbeam/sessions/internal/homeservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/homeservice.h
@@ -83,6 +83,8 @@
     /// Counts of connections by service.
     std::map<ServiceName, ConnectionCounters> connectionCounters() const;
     std::size_t openTransactions() const;
+    /// Maximum number of statements in flight at each member of the services whose home is here.
+    std::map<ServiceName, std::map<MemberId, std::size_t>> memberLimits() const;
 
 private:
     class ServiceHome;
--- a/sessions/include/rattanbeam/sessions/sessionsettings.h
+++ b/sessions/include/rattanbeam/sessions/sessionsettings.h
@@ -36,6 +36,8 @@
     std::uint32_t processorMilli = 1000;
     /// The bound that the operations of workspaces with a limit must keep.
     decisions::session::QuotaBound quotaBound;
+    /// Whether members that have started, recovered or failed are given their slots step by step.
+    bool isPaceEnabled = true;
     kernel::LogLevel logLevel = kernel::LogLevel::Info;
     /// Maximum number of log lines per second, and as many again for warnings. Successful requests may use a tenth of it.
     std::uint32_t logLinesPerSecond = 0;
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -40,6 +40,23 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
 }
 
+/// The text as the value of a metric's label.
+std::string labelText(const std::string &text)
+{
+    std::string escaped;
+    for (const char character : text) {
+        if (character == '\n') {
+            escaped += "\\n";
+            continue;
+        }
+        if (character == '"' || character == '\\') {
+            escaped += '\\';
+        }
+        escaped += character;
+    }
+    return escaped;
+}
+
 } // namespace
 
 class SessionInstance::Implementation
@@ -164,6 +181,12 @@
     }
     text << "rattanbeam_quota_delegations " << m_implementation->quotas.delegations() << '\n';
     text << "rattanbeam_quota_waiting " << m_implementation->quotas.waiting() << '\n';
+    for (const auto &[service, limits] : m_implementation->homes.memberLimits()) {
+        for (const auto &[member, limit] : limits) {
+            text << "rattanbeam_member_limit{service=\"" << labelText(service.text()) << "\",member=\"" << labelText(member.text())
+                 << "\"} " << limit << '\n';
+        }
+    }
     return text.str();
 }
 
--- a/sessions/src/sessionsettings.cpp
+++ b/sessions/src/sessionsettings.cpp
@@ -102,6 +102,7 @@
     settings.quotaBound.window = reader.duration("quotas", "window", {1000, 600'000}, 5s);
     settings.quotaBound.tolerance = readQuotaNumber(reader, "tolerance", 10);
     settings.quotaBound.slack = readQuotaNumber(reader, "slack", 1e6);
+    settings.isPaceEnabled = reader.choice("pace", "enabled", {"on", "off"}, "on") == "on";
     const std::string level = reader.choice("log", "level", {"debug", "info", "warning", "error"}, "info");
     settings.logLevel = level == "debug"     ? kernel::LogLevel::Debug
                         : level == "warning" ? kernel::LogLevel::Warning
