--- a/decisions/include/rattanbeam/decisions/session/quotapool.h
+++ b/decisions/include/rattanbeam/decisions/session/quotapool.h
@@ -30,6 +30,12 @@
     void setOwnShare(bool isCounted, TimePoint now);
     QuotaReply handleRequest(const InstanceId &sender, const QuotaRequest &request, TimePoint now);
 
+    /// The instances whose delegated shares count at `now`.
+    std::vector<InstanceId> delegatedShares(TimePoint now) const;
+    bool isOwnShareCounted() const
+    {
+        return m_isOwnShareCounted;
+    }
     /// Number of instances that delegate their share to this pool.
     std::size_t delegations() const
     {
--- a/decisions/include/rattanbeam/decisions/session/quotashare.h
+++ b/decisions/include/rattanbeam/decisions/session/quotashare.h
@@ -94,6 +94,8 @@
     {
         return m_pool.delegations();
     }
+    /// The instances whose shares the pool of this instance may use at `now`. No share is in force at two instances.
+    std::vector<InstanceId> sharesInForce(TimePoint now) const;
     std::uint64_t tokensGranted() const
     {
         return m_tokensGranted;
--- a/decisions/src/session/quotapool.cpp
+++ b/decisions/src/session/quotapool.cpp
@@ -84,6 +84,17 @@
     }
 }
 
+std::vector<InstanceId> QuotaPool::delegatedShares(TimePoint now) const
+{
+    std::vector<InstanceId> shares;
+    for (const auto &[instance, delegation] : m_delegations) {
+        if (delegation.expiresAt > now) {
+            shares.push_back(instance);
+        }
+    }
+    return shares;
+}
+
 double QuotaPool::shareOfWhole() const
 {
     return static_cast<double>(m_delegations.size() + (m_isOwnShareCounted ? 1 : 0)) / m_divisor;
--- a/decisions/src/session/quotashare.cpp
+++ b/decisions/src/session/quotashare.cpp
@@ -488,6 +488,15 @@
     }
 }
 
+std::vector<InstanceId> QuotaShare::sharesInForce(TimePoint now) const
+{
+    std::vector<InstanceId> shares = m_pool.delegatedShares(now);
+    if (m_pool.isOwnShareCounted()) {
+        shares.push_back(m_self);
+    }
+    return shares;
+}
+
 std::vector<QuotaMessage> QuotaShare::takeMessages(TimePoint now)
 {
     updateOwnShare(now);
--- a/decisions/test/session/quotashare_test.cpp
+++ b/decisions/test/session/quotashare_test.cpp
@@ -83,6 +83,7 @@
     }
     void run()
     {
+        m_world.watchShares();
         for (std::size_t i = 0; i < m_count; ++i) {
             m_world.poolOrder.push_back(i);
             m_world.instances[i].limits = m_before;
@@ -115,6 +116,7 @@
     /// `allowance`: operations above the bound.
     void check(const QuotaBound &bound, double allowance) const
     {
+        RC_ASSERT(m_world.sharesCountedTwice == 0U);
         for (const auto &[workspace, times] : m_world.admitted) {
             const QuotaLimit before = m_before.at(workspace);
             const QuotaLimit after = m_after.at(workspace);
@@ -222,6 +224,70 @@
     });
 }
 
+// Guards against a delegation that counts for longer than the delegating instance waits, and against stamps of a former run.
+TEST_CASE("A delegation counts from the time at which the pool sent the echoed stamp", "[quota]")
+{
+    const TimePoint start{1h};
+    const InstanceId other("other");
+    QuotaPool pool(platformBound, start);
+    pool.setInstances(2, start);
+    const std::uint64_t stamp = pool.handleRequest(other, {1, 0, true, 2, {}}, start + 1s).stamp;
+    CHECK(pool.delegations() == 0);
+    pool.handleRequest(other, {2, stamp, true, 2, {}}, start + 2s);
+    CHECK(pool.delegations() == 1);
+    CHECK(pool.delegatedShares(start + 1s + delegationPeriod - 1ms).size() == 1);
+    CHECK(pool.delegatedShares(start + 1s + delegationPeriod + 1ms).empty());
+    pool.handleRequest(other, {3, stamp, true, 2, {}}, start + 1s + delegationPeriod + 1ms);
+    CHECK(pool.delegations() == 0);
+    QuotaPool nextRun(platformBound, start + 1100ms);
+    nextRun.handleRequest(other, {4, stamp, true, 2, {}}, start + 1200ms);
+    CHECK(nextRun.delegations() == 0);
+}
+
+// Guards against a burst that is spent twice, by tokens that are still held and by those that accrue meanwhile.
+TEST_CASE("A bucket does not refill for tokens that may still be spent", "[quota]")
+{
+    const TimePoint start{1h};
+    const InstanceId home("home");
+    QuotaPool pool(platformBound, start);
+    pool.setLimits({{small, {10, 10}}}, start);
+    pool.setOwnShare(true, start);
+    CHECK(pool.handleRequest(home, {1, 0, false, 1, {{small, 1, 0, 0, 0}}}, start + 200ms).grants.front().tokens == 0); // just started
+    const QuotaReply first = pool.handleRequest(home, {2, 0, false, 1, {{small, 10, 0, 0, 0}}}, start + 2s);
+    CHECK(first.grants.front().tokens == 10);
+    CHECK(pool.handleRequest(home, {3, first.stamp, false, 1, {{small, 10, 0, 10, 0}}}, start + 2240ms).grants.front().tokens == 0);
+    // Seven were spent, and three are given back.
+    const QuotaReply second = pool.handleRequest(home, {4, first.stamp, false, 1, {{small, 10, 0, 0, 3}}}, start + 2245ms);
+    CHECK(second.grants.front().tokens == 3);
+    // The report that more are given back than were granted is not believed.
+    const QuotaReply third = pool.handleRequest(home, {5, second.stamp, false, 1, {{small, 10, 0, 0, 9}}}, start + 2246ms);
+    CHECK(third.grants.front().tokens == 3);
+}
+
+// Guards against tokens that are spent after their pool has stopped counting them.
+TEST_CASE("Tokens are not spent later than 250 ms after they were asked for", "[quota]")
+{
+    const TimePoint start{1h};
+    const InstanceId pool("pool");
+    QuotaShare home(InstanceId("home"), platformBound, start);
+    home.setLimits({{small, {10, 10}}}, start);
+    home.setFleet({pool}, 2, true, start);
+    home.tick(start);
+    const std::vector<QuotaMessage> probes = home.takeMessages(start);
+    REQUIRE(probes.size() == 1);
+    home.replyArrived(pool, {probes.front().request.number, 1, {}}, start + 1ms);
+    home.tick(start + 2ms);
+    home.takeMessages(start + 2ms);
+    const TimePoint asked = start + 300ms;
+    CHECK(home.request(1, small, asked + 1s, asked).verdict == QuotaVerdict::Waiting);
+    const std::vector<QuotaMessage> asks = home.takeMessages(asked);
+    REQUIRE(asks.size() == 1);
+    home.replyArrived(pool, {asks.front().request.number, 2, {{small, 3, {}}}}, asked + 50ms);
+    REQUIRE(home.takeOutcomes().size() == 1);
+    CHECK(home.request(2, small, asked + 1s, asked + 249ms).verdict == QuotaVerdict::Admitted);
+    CHECK(home.request(3, small, asked + 1s, asked + 251ms).verdict == QuotaVerdict::Waiting);
+}
+
 // Guards against shares that are left at instances without demand, and against waiting for every token.
 TEST_CASE("A workspace within its limit is not refused although its operations are spread over all homes", "[quota]")
 {
--- a/decisions/test/session/quotaworld.h
+++ b/decisions/test/session/quotaworld.h
@@ -157,6 +157,22 @@
                || cutInstances.contains(to);
     }
 
+    /// Checks from now on that no share is in force at two instances.
+    void watchShares()
+    {
+        std::set<InstanceId> shares;
+        for (const Instance &instance : instances) {
+            if (instance.isUp) {
+                for (const InstanceId &share : instance.quotas->sharesInForce(clock(instance))) {
+                    sharesCountedTwice += shares.insert(share).second ? 0 : 1;
+                }
+            }
+        }
+        at(time + 10ms, [this] {
+            watchShares();
+        });
+    }
+
     static constexpr std::size_t domains = 4;
     QuotaBound bound;
     std::mt19937 random;
@@ -171,6 +187,7 @@
     std::map<WorkspaceName, std::vector<Duration>> admitted;
     std::map<WorkspaceName, Counts> counts;
     std::size_t requests = 0;
+    std::size_t sharesCountedTwice = 0;
 
 private:
     struct Event {
