A member that is slow to answer its fence is not asked again every 40 ms

With synchronous replicas a change waits up to 4 s for it, and each further command would occupy a slot and a connection of the member. All 153 test cases of the decisions package pass (x86-64).

--- a/decisions/src/session/grouphomecandidates.cpp
+++ b/decisions/src/session/grouphomecandidates.cpp
@@ -13,6 +13,7 @@
 
 constexpr Duration fenceTimeout = 500ms; // for the answers of all replicas
 constexpr Duration statusPollInterval = 40ms; // between commands to a member whose status a change of primary awaits
+constexpr Duration fenceRepeatInterval = 500ms; // the same to a member that has not answered its fence within fenceTimeout
 constexpr Duration yieldAskInterval = 500ms; // between requests to the same lease holder
 constexpr Duration fenceCheckInterval = 200ms; // between checks that a fenced witness still is
 constexpr Duration earlierOrderTime = 2000ms; // maximum time of a call to the platform and of the promotion that it may have begun
@@ -365,9 +366,12 @@
         && sendMaintenance(oldPrimary->second, CommandKind::Demote, m_highestTerm + 1, now)) {
         oldPrimary->second.statusAskedAt = now;
     }
+    // A member that is slow to answer is not given a slot's work with each further command.
+    const bool isWaitLong = !m_change.isPlanned && now - m_change.fencingSince > fenceTimeout;
+    const Duration interval = isWaitLong ? fenceRepeatInterval : statusPollInterval;
     for (const MemberId &id : std::set<MemberId>(m_change.pendingFences)) {
         const auto found = m_members.find(id);
-        if (found == m_members.end() || now - found->second.statusAskedAt < statusPollInterval) {
+        if (found == m_members.end() || now - found->second.statusAskedAt < interval) {
             continue;
         }
         const CommandKind kind = m_change.isPlanned ? CommandKind::Status : CommandKind::Suspend;
