--- a/decisions/include/rattanbeam/decisions/session/quotamessages.h
+++ b/decisions/include/rattanbeam/decisions/session/quotamessages.h
@@ -72,6 +72,8 @@
     std::uint64_t number = 0;
     /// Increases with each reply of the pool.
     std::uint64_t stamp = 0;
+    /// Whether the pool counted a share of the sender when the request arrived. If not, it ignores delegations with older echoes.
+    bool holdsShare = false;
     std::vector<QuotaGrant> grants;
 };
 
--- a/decisions/include/rattanbeam/decisions/session/quotapool.h
+++ b/decisions/include/rattanbeam/decisions/session/quotapool.h
@@ -86,6 +86,9 @@
     /// No delegation expires before this time.
     TimePoint m_nextExpiry = TimePoint::max();
     std::uint64_t m_lastStamp = 0;
+    /// Stamps of replies that denied holding the instance's share. A request of its earlier run may arrive after such a reply, and must not
+    /// delegate the share again.
+    std::map<InstanceId, std::uint64_t> m_denials;
 };
 
 } // namespace rattanbeam::decisions::session
--- a/decisions/include/rattanbeam/decisions/session/quotashare.h
+++ b/decisions/include/rattanbeam/decisions/session/quotashare.h
@@ -143,6 +143,8 @@
         TimePoint quarantinedUntil = distantPast;
         TimePoint lastSentAt = distantPast;
         std::uint64_t lastHandledNumber = 0;
+        /// Whether it has told this run that it holds no share of an earlier one.
+        bool hasDeniedShare = false;
     };
     /// A request that asked for tokens, without a reply so far.
     struct PendingAsk {
@@ -159,6 +161,8 @@
     PeerState stateOf(const InstanceId &instance, TimePoint now) const;
     void chooseTarget(TimePoint now);
     bool isPastAbstention(TimePoint now) const;
+    bool haveAllPoolsDeniedShare() const;
+    std::size_t candidateCount() const;
     bool ownsShare(TimePoint now) const;
     bool coversOldGrants() const;
     bool canDelegateTo(const InstanceId &instance, TimePoint now) const;
@@ -190,6 +194,8 @@
     std::vector<InstanceId> m_poolOrder;
     std::uint32_t m_instances = 1;
     bool m_isRegistered = false;
+    /// Whether no pool can hold a share that an earlier run of this instance delegated.
+    bool m_isFormerShareFree = false;
     bool m_areAdvancesAllowed = false;
     InstanceId m_target;
     /// This instance's share may be counted by this other pool until `m_committedUntil`.
--- a/decisions/src/session/quotapool.cpp
+++ b/decisions/src/session/quotapool.cpp
@@ -172,6 +172,10 @@
     if (!request.delegates || !isOwnStamp(request.echo, now)) {
         return;
     }
+    const auto denial = m_denials.find(sender);
+    if (denial != m_denials.end() && request.echo < denial->second) {
+        return;
+    }
     const TimePoint expiresAt = timeOf(request.echo) + delegationPeriod;
     if (expiresAt <= now) {
         return;
@@ -257,9 +261,17 @@
 QuotaReply QuotaPool::handleRequest(const InstanceId &sender, const QuotaRequest &request, TimePoint now)
 {
     advance(now);
+    QuotaReply reply;
+    reply.holdsShare = m_delegations.contains(sender);
     addDelegation(sender, request, now);
     m_lastStamp = std::max(m_lastStamp + 1, stampOf(now));
-    QuotaReply reply;
+    if (!reply.holdsShare) {
+        // Echoes older than the delegation period delegate nothing, so that older denials are not needed.
+        std::erase_if(m_denials, [&](const auto &denial) {
+            return timeOf(denial.second) + delegationPeriod <= now;
+        });
+        m_denials[sender] = m_lastStamp;
+    }
     reply.number = request.number;
     reply.stamp = m_lastStamp;
     for (const QuotaAsk &ask : request.asks) {
--- a/decisions/src/session/quotashare.cpp
+++ b/decisions/src/session/quotashare.cpp
@@ -29,7 +29,7 @@
 constexpr Duration returnBefore = 100ms; // tokens that expire sooner and are not expected to be used are given back
 constexpr Duration returnDueBefore = 60ms; // a request is sent for tokens that are to be given back
 constexpr Duration maxSilence = 600ms; // of a pool until another one is chosen
-constexpr Duration quarantine = 3s; // of an instance that was down, before it is chosen again
+constexpr Duration quarantine = 1s; // of an instance that went down, before it is chosen again
 constexpr Duration probeInterval = 2s; // of instances that would be preferred to the present pool
 constexpr std::size_t maxCandidates = 8; // instances that are tried as a pool, before this instance uses its share alone
 constexpr Duration clockMargin = 100ms; // for clocks that run at different rates
@@ -114,7 +114,26 @@
 
 bool QuotaShare::isPastAbstention(TimePoint now) const
 {
-    return now >= m_startedAt + abstention;
+    return m_isFormerShareFree || now >= m_startedAt + abstention;
+}
+
+/// Number of instances, from the start of the order, that are tried as a pool.
+std::size_t QuotaShare::candidateCount() const
+{
+    const auto self = std::find(m_poolOrder.begin(), m_poolOrder.end(), m_self);
+    return std::min(maxCandidates, static_cast<std::size_t>(self - m_poolOrder.begin()));
+}
+
+/// Whether each instance to which an earlier run may have delegated its share has said that it holds none. After a start of the whole
+/// fleet, shares are in use as soon as this is known instead of after the abstention.
+bool QuotaShare::haveAllPoolsDeniedShare() const
+{
+    const std::size_t count = candidateCount();
+    return count > 0
+           && std::all_of(m_poolOrder.begin(), m_poolOrder.begin() + static_cast<std::ptrdiff_t>(count), [&](const InstanceId &candidate) {
+                  const auto peer = m_peers.find(candidate);
+                  return peer != m_peers.end() && peer->second.hasDeniedShare;
+              });
 }
 
 bool QuotaShare::ownsShare(TimePoint now) const
@@ -383,7 +402,9 @@
 {
     Peer &peer = m_peers[pool];
     const bool wasStampFresh = now - peer.stampReceivedAt < delegationPeriod;
-    if (stateOf(pool, now) == PeerState::Down && now >= peer.quarantinedUntil) {
+    // An instance that has not answered before may only have started later than this one.
+    const bool isFirstReply = peer.lastReplyAt == distantPast;
+    if (!isFirstReply && stateOf(pool, now) == PeerState::Down && now >= peer.quarantinedUntil) {
         peer.quarantinedUntil = pool == m_committedTo && now < m_committedUntil ? distantPast : now + quarantine;
     }
     peer.isDown = false;
@@ -392,6 +413,10 @@
         return;
     }
     peer.lastHandledNumber = reply.number;
+    peer.hasDeniedShare = peer.hasDeniedShare || !reply.holdsShare;
+    if (!isPastAbstention(now) && haveAllPoolsDeniedShare()) {
+        m_isFormerShareFree = true;
+    }
     peer.stamp = reply.stamp;
     peer.stampReceivedAt = now;
     if (!wasStampFresh) {
@@ -472,11 +497,15 @@
     sendDue(now);
     std::size_t tried = 0;
     for (const InstanceId &candidate : m_poolOrder) {
-        if (candidate == m_self || candidate == m_target || tried == maxCandidates) {
+        // Before the end of the abstention all are asked whether they hold the share of an earlier run.
+        if (candidate == m_self || tried == maxCandidates || (candidate == m_target && isPastAbstention(now))) {
             break;
         }
         ++tried;
-        const bool isUrgent = m_target.isEmpty() || m_target == m_self;
+        if (candidate == m_target) {
+            continue;
+        }
+        const bool isUrgent = m_target.isEmpty() || m_target == m_self || !isPastAbstention(now);
         if (now - m_peers[candidate].lastSentAt >= (isUrgent ? keepaliveInterval : probeInterval)) {
             send(candidate, false, now);
         }
--- a/decisions/test/session/quotashare_test.cpp
+++ b/decisions/test/session/quotashare_test.cpp
@@ -282,7 +282,7 @@
     CHECK(home.request(1, small, asked + 1s, asked).verdict == QuotaVerdict::Waiting);
     const std::vector<QuotaMessage> asks = home.takeMessages(asked);
     REQUIRE(asks.size() == 1);
-    home.replyArrived(pool, {asks.front().request.number, 2, {{small, 3, {}}}}, asked + 50ms);
+    home.replyArrived(pool, {asks.front().request.number, 2, false, {{small, 3, {}}}}, asked + 50ms);
     REQUIRE(home.takeOutcomes().size() == 1);
     CHECK(home.request(2, small, asked + 1s, asked + 249ms).verdict == QuotaVerdict::Admitted);
     CHECK(home.request(3, small, asked + 1s, asked + 251ms).verdict == QuotaVerdict::Waiting);
--- a/sessions/src/internal/quotaservice.cpp
+++ b/sessions/src/internal/quotaservice.cpp
@@ -67,6 +67,7 @@
     link::v1::QuotaReply message;
     message.set_number(reply.number);
     message.set_stamp(reply.stamp);
+    message.set_holds_share(reply.holdsShare);
     for (const auto &grant : reply.grants) {
         auto *added = message.add_grants();
         added->set_workspace(grant.workspace.text());
@@ -78,7 +79,7 @@
 
 QuotaReply fromMessage(const link::v1::QuotaReply &message)
 {
-    QuotaReply reply{message.number(), message.stamp(), {}};
+    QuotaReply reply{message.number(), message.stamp(), message.holds_share(), {}};
     for (const auto &grant : message.grants()) {
         reply.grants.push_back({WorkspaceName(grant.workspace()), grant.tokens(), std::chrono::milliseconds(grant.retry_after_ms())});
     }
