--- a/standins/include/rattanbeam/standins/sessions/memberserver.h
+++ b/standins/include/rattanbeam/standins/sessions/memberserver.h
@@ -48,6 +48,8 @@
     double lostAnswers = 0;
     double failures = 0;
     int slowness = 1;
+    /// Rows of reads are padded to this length.
+    std::size_t rowBytes = 0;
 };
 
 struct MemberServerEvents {
--- a/standins/src/sessions/memberserver.cpp
+++ b/standins/src/sessions/memberserver.cpp
@@ -281,6 +281,9 @@
         RunStatement run{m_id, text, m_server.m_id, m_number, transaction, m_values, "", "", isWrite};
         run.signature = m_server.m_id + '.' + std::to_string(++m_server.m_lastSignature);
         run.row = verb == "COMMIT" || isWrite ? "" : "row" + std::to_string(m_server.m_lastSignature);
+        if (!run.row.empty() && run.row.size() < m_server.m_faults.rowBytes) {
+            run.row.resize(m_server.m_faults.rowBytes, '.');
+        }
         m_server.m_events.ran(run);
         if (isWrite && transaction != 0) {
             m_writes.push_back(m_id);
