What an instance holds for its clients is bounded

Entry and home refuse statements for which they have no room as not run. Links read on after a large frame only once the loop has handled it, and an entry that does not take its answers gets errors instead of rows. Values, prepared statements and the names under which a home prepares them are bounded in bytes and number. Log values are cut at 512 bytes.

Settings of the system test: memory = 160, descriptors = 512.

--- a/decisions/include/rattanbeam/decisions/session/clientsession.h
+++ b/decisions/include/rattanbeam/decisions/session/clientsession.h
@@ -30,6 +30,9 @@
 struct SessionLimits {
     std::size_t maxValues = 64;
     std::size_t maxPreparedStatements = 256;
+    /// Of all values and prepared statements. With a statement of 1 MiB they have to fit in one message between instances, because a
+    /// longer message ends the stream that all sessions between two instances share.
+    std::size_t maxBytes = 2 << 20;
 
     auto operator<=>(const SessionLimits &) const = default;
 };
@@ -68,6 +71,11 @@
     {
         return m_values;
     }
+    /// Bytes of all values and prepared statements.
+    std::size_t storedBytes() const
+    {
+        return m_storedBytes;
+    }
     /// Log position of the last commit that was acknowledged to this session, for read-your-writes consistency.
     const std::optional<LogPosition> &lastCommitPosition() const
     {
@@ -80,6 +88,8 @@
     Answer setValue(const Statement &statement);
     Answer prepare(const Statement &statement);
     Answer deallocate(const Statement &statement);
+    /// Stores the statement's arguments under its name unless that exceeds the limits.
+    Answer store(std::map<std::string, std::string> &entries, std::size_t maxEntries, const Statement &statement, const char *tooMany);
     Answer failMalformed(const char *reason);
     Answer fail(StatementError error, std::string text);
     std::variant<Answer, ForwardedStatement> forward(const Statement &statement);
@@ -91,6 +101,7 @@
     bool m_isTransactionReadOnly = false;
     SessionValues m_values;
     std::map<std::string, std::string> m_preparedStatements;
+    std::size_t m_storedBytes = 0;
     std::optional<LogPosition> m_lastCommitPosition;
 };
 
--- a/decisions/include/rattanbeam/decisions/session/memberconnections.h
+++ b/decisions/include/rattanbeam/decisions/session/memberconnections.h
@@ -47,16 +47,36 @@
     }
 };
 
-/// Names under which a home prepares statements at members. Sessions that prepare the same definition share a name.
+/// Names under which a home prepares statements at members. Sessions that prepare the same definition share a name. Beyond the limits the
+/// definition that got its name first is forgotten; its name is not given again.
 class PreparedNames
 {
 public:
-    const std::string &nameOf(const std::string &definition);
+    static constexpr std::size_t maxNames = 4096;
+    static constexpr std::size_t maxBytes = 4 << 20;
+
+    std::string nameOf(const std::string &definition);
+    std::size_t count() const
+    {
+        return m_names.size();
+    }
+    /// Bytes of all definitions.
+    std::size_t bytes() const
+    {
+        return m_bytes;
+    }
 
 private:
     std::map<std::string, std::string> m_names;
+    /// The definitions in the order in which they got their names.
+    std::deque<std::map<std::string, std::string>::iterator> m_order;
+    std::size_t m_bytes = 0;
+    std::uint64_t m_lastName = 0;
 };
 
+/// Statements that a home prepares on one connection; then the connection is reset, so that neither side keeps any number of them.
+inline constexpr std::size_t maxPreparedPerConnection = 1024;
+
 /// A home's connections to one member.
 class MemberConnections
 {
--- a/decisions/src/session/clientsession.cpp
+++ b/decisions/src/session/clientsession.cpp
@@ -132,11 +132,7 @@
     if (statement.name.empty()) {
         return failMalformed("a value needs a name");
     }
-    if (!m_values.contains(statement.name) && m_values.size() >= m_limits.maxValues) {
-        return fail(StatementError::Overloaded, "too many values");
-    }
-    m_values[statement.name] = statement.arguments;
-    return Answer::success(m_phase);
+    return store(m_values, m_limits.maxValues, statement, "too many values");
 }
 
 Answer ClientSession::prepare(const Statement &statement)
@@ -145,18 +141,34 @@
     if (statement.name.empty() || !isKnownKind) {
         return failMalformed("a prepared statement needs a name, READ or WRITE, and a shape");
     }
-    if (!m_preparedStatements.contains(statement.name) && m_preparedStatements.size() >= m_limits.maxPreparedStatements) {
-        return fail(StatementError::Overloaded, "too many prepared statements");
+    return store(m_preparedStatements, m_limits.maxPreparedStatements, statement, "too many prepared statements");
+}
+
+Answer
+ClientSession::store(std::map<std::string, std::string> &entries, std::size_t maxEntries, const Statement &statement, const char *tooMany)
+{
+    const auto found = entries.find(statement.name);
+    if (found == entries.end() && entries.size() >= maxEntries) {
+        return fail(StatementError::Overloaded, tooMany);
+    }
+    const std::size_t formerBytes = found == entries.end() ? 0 : statement.name.size() + found->second.size();
+    const std::size_t storedBytes = m_storedBytes - formerBytes + statement.name.size() + statement.arguments.size();
+    if (storedBytes > m_limits.maxBytes && storedBytes > m_storedBytes) {
+        return fail(StatementError::Overloaded, "too many bytes of values and prepared statements");
     }
-    m_preparedStatements[statement.name] = statement.arguments;
+    entries[statement.name] = statement.arguments;
+    m_storedBytes = storedBytes;
     return Answer::success(m_phase);
 }
 
 Answer ClientSession::deallocate(const Statement &statement)
 {
-    if (m_preparedStatements.erase(statement.name) == 0) {
+    const auto found = m_preparedStatements.find(statement.name);
+    if (found == m_preparedStatements.end()) {
         return fail(StatementError::UnknownPrepared, statement.name);
     }
+    m_storedBytes -= found->first.size() + found->second.size();
+    m_preparedStatements.erase(found);
     return Answer::success(m_phase);
 }
 
--- a/decisions/src/session/memberconnections.cpp
+++ b/decisions/src/session/memberconnections.cpp
@@ -44,13 +44,21 @@
     return "unknown";
 }
 
-const std::string &PreparedNames::nameOf(const std::string &definition)
+std::string PreparedNames::nameOf(const std::string &definition)
 {
     const auto found = m_names.find(definition);
     if (found != m_names.end()) {
         return found->second;
     }
-    return m_names.emplace(definition, "p" + std::to_string(m_names.size() + 1)).first->second;
+    while (!m_names.empty() && (m_names.size() >= maxNames || m_bytes + definition.size() > maxBytes)) {
+        m_bytes -= m_order.front()->first.size();
+        m_names.erase(m_order.front());
+        m_order.pop_front();
+    }
+    const auto added = m_names.emplace(definition, "p" + std::to_string(++m_lastName)).first;
+    m_order.push_back(added);
+    m_bytes += definition.size();
+    return added->second;
 }
 
 MemberConnection &MemberConnections::add(ConnectionNumber number, TimePoint now)
@@ -111,7 +119,10 @@
                                                const std::string &definition)
 {
     std::vector<MemberCommand> commands;
-    const bool isReset = needsReset(connection, values);
+    const bool isNewName = !preparedName.empty() && !connection.preparedNames.contains(preparedName);
+    // A reset would end an open transaction.
+    const bool isFull = isNewName && !connection.pinnedBy && connection.preparedNames.size() >= maxPreparedPerConnection;
+    const bool isReset = needsReset(connection, values) || isFull;
     if (isReset) {
         MemberCommand reset;
         reset.kind = CommandKind::Reset;
@@ -123,7 +134,7 @@
             commands.push_back(statementCommand(StatementKind::SetValue, name, value));
         }
     }
-    if (!preparedName.empty() && (isReset || !connection.preparedNames.contains(preparedName))) {
+    if (!preparedName.empty() && (isReset || isNewName)) {
         commands.push_back(statementCommand(StatementKind::Prepare, preparedName, definition));
     }
     return commands;
--- a/decisions/test/session/clientsession_test.cpp
+++ b/decisions/test/session/clientsession_test.cpp
@@ -102,4 +102,17 @@
     CHECK(immediateAnswer(session, makeStatement(StatementKind::Prepare, "s2", "READ q")).error == StatementError::Overloaded);
 }
 
+TEST_CASE("The bytes of values and prepared statements in a session are limited together", "[clientsession]")
+{
+    ClientSession session(SessionLimits{64, 64, 100});
+    CHECK(immediateAnswer(session, makeStatement(StatementKind::SetValue, "a", std::string(49, 'x'))).isSuccess());
+    CHECK(immediateAnswer(session, makeStatement(StatementKind::Prepare, "s", "READ " + std::string(44, 'x'))).isSuccess());
+    CHECK(session.storedBytes() == 100);
+    CHECK(immediateAnswer(session, makeStatement(StatementKind::SetValue, "b", "")).error == StatementError::Overloaded);
+    CHECK(immediateAnswer(session, makeStatement(StatementKind::SetValue, "a", "1")).isSuccess());
+    CHECK(immediateAnswer(session, makeStatement(StatementKind::SetValue, "b", std::string(40, 'x'))).isSuccess());
+    CHECK(immediateAnswer(session, makeStatement(StatementKind::Deallocate, "s")).isSuccess());
+    CHECK(session.storedBytes() == 43);
+}
+
 } // namespace rattanbeam::decisions::session
--- a/kernel/src/logevent.cpp
+++ b/kernel/src/logevent.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 
+constexpr std::size_t maxValueBytes = 512;
+
 std::string &instanceName()
 {
     static std::string name;
@@ -78,7 +80,8 @@
     m_line += ' ';
     m_line += key;
     m_line += '=';
-    m_line += quoted(value);
+    // Clients choose some values, such as the id of a request, and may make them as long as a message.
+    m_line += value.size() <= maxValueBytes ? quoted(value) : quoted(value.substr(0, maxValueBytes) + "...");
 }
 
 void startBoundedLog(LogLevel least, const std::string &instance, std::uint32_t linesPerSecond)
--- a/sessions/include/rattanbeam/sessions/internal/entryservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/entryservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanbeam/decisions/session/callerindex.h"
+#include "rattanbeam/decisions/session/clientbudget.h"
 #include "rattanbeam/decisions/session/clientsession.h"
 #include "rattanbeam/kernel/metrics.h"
 #include "rattanbeam/sessions/eventloop.h"
@@ -68,6 +69,11 @@
     {
         return m_sessions.size();
     }
+    /// Bytes of the statements that were forwarded and are not answered yet.
+    std::size_t forwardedBytes() const
+    {
+        return m_forwardedBudget.total();
+    }
 
 private:
     struct Session {
@@ -100,6 +106,8 @@
         TimePoint deadline{};
         /// Addresses of the homes that redirected it, or whose link was lost; it is not sent there again.
         std::set<std::string> triedHomes;
+        /// Gives its bytes back to the budget.
+        std::shared_ptr<const void> heldBytes;
     };
 
     /// The workspace index of the configuration in force.
@@ -109,6 +117,10 @@
     void refuseSession(SessionNumber number, StatementError error, const std::string &text);
     void processQueuedStatements(SessionNumber number);
     void processStatement(SessionNumber number, const Statement &statement);
+    /// Counts the bytes of the statement and its session's values until the result is destroyed. Null if there is no room.
+    std::shared_ptr<const void> holdBytes(const Session &session, const ForwardedStatement &forwarded);
+    /// Refuses a statement for which there is no room; its transaction is ended.
+    void refuseForMemory(SessionNumber number, const Statement &statement, const ForwardedStatement &forwarded);
     void answerLocally(SessionNumber number, const Statement &statement, const Answer &answer);
     /// Sends the request to the home of its transaction, otherwise to the first usable one in the ranking of its service.
     void forward(std::uint64_t request);
@@ -135,6 +147,7 @@
     std::uint64_t m_callersVersion = 0;
     std::map<SessionNumber, Session> m_sessions;
     SessionNumber m_lastSessionNumber = 0;
+    decisions::session::StatementBudget m_forwardedBudget;
     std::map<std::uint64_t, PendingRequest> m_pendingRequests;
     std::uint64_t m_lastRequestNumber = 0;
     /// Whether endPendingRequests() was called.
--- a/sessions/include/rattanbeam/sessions/internal/homeservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/homeservice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanbeam/decisions/session/clientbudget.h"
 #include "rattanbeam/decisions/session/grouphome.h"
 #include "rattanbeam/decisions/session/homeplan.h"
 #include "rattanbeam/sessions/eventloop.h"
@@ -71,6 +72,16 @@
     /// Number of connections to members, those being opened included.
     std::size_t connections() const;
     std::size_t openTransactions() const;
+    /// Bytes of the statements that were accepted and are not answered yet, for all entries.
+    std::size_t acceptedBytes() const
+    {
+        return m_acceptedBudget.total();
+    }
+    /// Number of statements that were refused because there was no room for them.
+    std::uint64_t refusedForMemory() const
+    {
+        return m_refusedForMemory;
+    }
 
 private:
     class ServiceHome;
@@ -96,6 +107,8 @@
     void updateServiceHome(ServiceHome &serviceHome);
     bool isFirstHome(const ServiceName &service) const;
     void planHomesAndRelays();
+    /// Answers a statement for which there is no room, and ends its transaction.
+    void refuseForMemory(const std::string &entry, const link::v1::StatementRequest &message, const ReplyCallback &callback);
     void probeMember(const MemberRecord &member, const std::function<void(bool isReachable)> &callback);
     /// Asks up to three instances, at most two of each failure domain, whether they reach the member. Only instances of other domains
     /// are asked, if there are any.
@@ -117,6 +130,8 @@
     /// Digest of the instances and version of the configuration that the plan was made from.
     std::pair<std::uint64_t, std::uint64_t> m_planBasis;
     std::map<ServiceName, std::unique_ptr<ServiceHome>> m_serviceHomes;
+    decisions::session::StatementBudget m_acceptedBudget;
+    std::uint64_t m_refusedForMemory = 0;
     std::map<RequestNumber, ReplyCallback> m_replyCallbacks;
     RequestNumber m_lastRequestNumber = 0;
     /// Numbers inquiries, yield requests and probes.
--- a/sessions/include/rattanbeam/sessions/internal/instancelink.h
+++ b/sessions/include/rattanbeam/sessions/internal/instancelink.h
@@ -25,6 +25,11 @@
 public:
     virtual ~FrameStream() = default;
     virtual void write(const Frame &frame) = 0;
+    /// Bytes of the frames that are not written yet.
+    virtual std::size_t unwrittenBytes() const
+    {
+        return 0;
+    }
     virtual void close() = 0;
 };
 
--- a/sessions/include/rattanbeam/sessions/ports.h
+++ b/sessions/include/rattanbeam/sessions/ports.h
@@ -29,6 +29,9 @@
     /// Refuses the session and closes the connection.
     virtual void refuse(StatementError error, const std::string &text) = 0;
     virtual void answer(const Answer &answer) = 0;
+    /// The session stores `bytes` for the client from now on.
+    virtual void setSessionBytes(std::size_t /*bytes*/)
+    {}
     virtual void close() = 0;
 };
 
--- a/sessions/include/rattanbeam/sessions/sessioninstance.h
+++ b/sessions/include/rattanbeam/sessions/sessioninstance.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanbeam/kernel/metrics.h"
 #include "rattanbeam/sessions/eventloop.h"
 #include "rattanbeam/sessions/ports.h"
 #include "rattanbeam/sessions/sessionsettings.h"
@@ -38,6 +39,7 @@
     void drain(std::function<void()> closeFront, const std::function<void()> &drained);
     /// All counters and latencies, in the Prometheus text format.
     std::string metricsText() const;
+    kernel::Metrics &metrics();
 
 private:
     class Implementation;
--- a/sessions/include/rattanbeam/sessions/sessionsettings.h
+++ b/sessions/include/rattanbeam/sessions/sessionsettings.h
@@ -2,6 +2,7 @@
 
 #include "rattanbeam/decisions/identifiers.h"
 #include "rattanbeam/decisions/result.h"
+#include "rattanbeam/decisions/session/clientbudget.h"
 #include "rattanbeam/kernel/logevent.h"
 
 #include <chrono>
@@ -33,6 +34,11 @@
     std::chrono::milliseconds grace{};
     /// Processor share times the relative speed of the core, in thousandths of a core.
     std::uint32_t processorMilli = 1000;
+    /// Descriptors that the process may open.
+    std::uint32_t descriptors = 0;
+    /// Bytes kept for clients.
+    std::size_t clientBytes = 0;
+    decisions::session::ClientLimits clients;
     kernel::LogLevel logLevel = kernel::LogLevel::Info;
     /// Maximum number of log lines per second, and as many again for warnings. Successful requests may use a tenth of it.
     std::uint32_t logLinesPerSecond = 0;
--- a/sessions/src/internal/entryservice.cpp
+++ b/sessions/src/internal/entryservice.cpp
@@ -22,6 +22,8 @@
 constexpr decisions::Duration replyMargin = 100ms; // added to the deadline, which the home itself enforces
 constexpr std::uint32_t successLinesDivisor = 10; // successful statements may take one in this many of the log's lines
 
+const char *const memoryRefusal = "client-memory retry-after-ms=500"; // statements are answered, or given up, in about that time
+
 const char *consistencyName(Consistency consistency)
 {
     switch (consistency) {
@@ -53,7 +55,13 @@
 
 EntryService::EntryService(
     EventLoop &loop, const SessionSettings &settings, Directory &directory, PeerLinks &links, HomeService &homes, kernel::Metrics &metrics)
-    : m_loop(loop), m_settings(settings), m_directory(directory), m_links(links), m_homes(homes), m_metrics(metrics)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_directory(directory)
+    , m_links(links)
+    , m_homes(homes)
+    , m_metrics(metrics)
+    , m_forwardedBudget(settings.clients.maxForwardedBytes)
 {}
 
 SessionNumber
@@ -102,7 +110,7 @@
 {
     auto found = m_sessions.find(number);
     while (found != m_sessions.end() && !found->second.isBusy && !found->second.queuedStatements.empty()) {
-        const Statement statement = found->second.queuedStatements.front();
+        const Statement statement = std::move(found->second.queuedStatements.front());
         found->second.queuedStatements.pop_front();
         processStatement(number, statement);
         found = m_sessions.find(number);
@@ -164,11 +172,18 @@
         if (startedTransaction != 0 && session.state.startedTransaction() == 0) {
             endTransactionAt(session.transactionHome, number, startedTransaction);
         }
+        session.channel->setSessionBytes(session.state.storedBytes());
         answerLocally(number, statement, *answer);
         return;
     }
+    auto heldBytes = holdBytes(session, std::get<ForwardedStatement>(next));
+    if (!heldBytes) {
+        refuseForMemory(number, statement, std::get<ForwardedStatement>(next));
+        return;
+    }
     const std::uint64_t request = ++m_lastRequestNumber;
     PendingRequest &pending = m_pendingRequests[request];
+    pending.heldBytes = std::move(heldBytes);
     pending.session = number;
     pending.forwarded = std::get<ForwardedStatement>(next);
     pending.route = session.transactionRoute;
@@ -178,6 +193,32 @@
     forward(request);
 }
 
+std::shared_ptr<const void> EntryService::holdBytes(const Session &session, const ForwardedStatement &forwarded)
+{
+    const Statement &statement = forwarded.statement;
+    const std::size_t bytes = statement.id.size() + statement.name.size() + statement.arguments.size() + forwarded.definition.size()
+                              + session.state.storedBytes();
+    if (!m_forwardedBudget.tryAdd(bytes)) {
+        return nullptr;
+    }
+    return {this, [this, bytes](const EntryService *) {
+                m_forwardedBudget.release(bytes);
+            }};
+}
+
+void EntryService::refuseForMemory(SessionNumber number, const Statement &statement, const ForwardedStatement &forwarded)
+{
+    Session &session = m_sessions.at(number);
+    const bool isInTransaction = forwarded.transaction != 0;
+    if (session.state.startedTransaction() != 0) {
+        endTransactionAt(session.transactionHome, number, session.state.startedTransaction());
+    }
+    m_metrics.count("statements_refused_for_memory");
+    const Answer refusal
+        = Answer::failure(isInTransaction ? StatementError::Aborted : StatementError::Busy, memoryRefusal, SessionPhase::Idle);
+    answerLocally(number, statement, session.state.handleAnswer(forwarded, refusal));
+}
+
 void EntryService::answerLocally(SessionNumber number, const Statement &statement, const Answer &answer)
 {
     if (!answer.isSuccess()) {
@@ -314,7 +355,7 @@
 
 void EntryService::complete(std::uint64_t request, const Answer &answer, bool isTransactionOpen)
 {
-    const PendingRequest pending = m_pendingRequests.at(request);
+    const PendingRequest pending = std::move(m_pendingRequests.at(request));
     m_pendingRequests.erase(request);
     const auto found = m_sessions.find(pending.session);
     logOutcome(pending, answer);
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -182,6 +182,7 @@
     , m_directory(directory)
     , m_links(links)
     , m_ports(ports)
+    , m_acceptedBudget(settings.clients.maxAcceptedBytes)
 {}
 
 HomeService::~HomeService() = default;
@@ -277,7 +278,15 @@
         callback(statementReply(entryRequest, refusal));
         return;
     }
-    m_replyCallbacks[number] = [entryRequest, callback = std::move(callback)](const link::v1::StatementReply &reply) {
+    const std::size_t bytes = message.ByteSizeLong();
+    if (!m_acceptedBudget.tryAdd(bytes)) {
+        refuseForMemory(entry, message, callback);
+        return;
+    }
+    const std::shared_ptr<const void> heldBytes(this, [this, bytes](const HomeService *) {
+        m_acceptedBudget.release(bytes);
+    });
+    m_replyCallbacks[number] = [entryRequest, heldBytes, callback = std::move(callback)](const link::v1::StatementReply &reply) {
         link::v1::StatementReply renumbered = reply;
         renumbered.set_request(entryRequest);
         callback(renumbered);
@@ -290,6 +299,27 @@
     }
 }
 
+void HomeService::refuseForMemory(const std::string &entry, const link::v1::StatementRequest &message, const ReplyCallback &callback)
+{
+    ++m_refusedForMemory;
+    const bool isInTransaction = message.transaction() != 0;
+    if (isInTransaction && !message.opens()) {
+        link::v1::TransactionEnd end;
+        end.set_session(message.session());
+        end.set_transaction(message.transaction());
+        endTransaction(entry, end);
+    }
+    LogEvent("request-refused")
+        .with("request", message.id())
+        .with("service", message.service())
+        .with("error", isInTransaction ? StatementError::Aborted : StatementError::Busy)
+        .with("reason", "home-memory");
+    HomeReply refusal;
+    refusal.answer = Answer::failure(
+        isInTransaction ? StatementError::Aborted : StatementError::Busy, "home-memory retry-after-ms=500", SessionPhase::Idle);
+    callback(statementReply(message.request(), refusal));
+}
+
 void HomeService::endTransaction(const std::string &entry, const link::v1::TransactionEnd &end)
 {
     const TimePoint now = EventLoop::now();
--- a/sessions/src/internal/instancelink.cpp
+++ b/sessions/src/internal/instancelink.cpp
@@ -9,6 +9,9 @@
 {
 
 constexpr int maxMessageBytes = 8 << 20;
+// After a longer frame, the next one is read only when the event loop has handled it. Otherwise gRPC's threads would fill the loop's
+// queue with all that other instances send.
+constexpr std::size_t largeFrameBytes = 16 << 10;
 
 /// Frames to be written. gRPC allows only one write at a time per stream, so the frame being written stays at the front.
 class WriteQueue
@@ -18,17 +21,26 @@
     const Frame *push(const Frame &frame)
     {
         m_frames.push_back(frame);
+        m_bytes += frame.ByteSizeLong();
         return m_frames.size() == 1 ? &m_frames.front() : nullptr;
     }
     /// Removes the frame whose write has ended. Returns the next one to write, or null.
     const Frame *popWritten()
     {
+        m_bytes -= m_frames.front().ByteSizeLong();
         m_frames.pop_front();
         return m_frames.empty() ? nullptr : &m_frames.front();
     }
 
+    /// Bytes of all frames, as they are sent.
+    std::size_t bytes() const
+    {
+        return m_bytes;
+    }
+
 private:
     std::deque<Frame> m_frames;
+    std::size_t m_bytes = 0;
 };
 
 /// Posts the events of a stream from gRPC's threads to the event loop. Nothing is delivered once the stream has ended or, on
@@ -38,11 +50,23 @@
     FrameEvents events; ///< Used on the loop's thread only.
     bool isEnded = false;
 
-    static void postFrame(const std::shared_ptr<EventDispatcher> &self, std::shared_ptr<const Frame> frame)
+    /// Calls `handled`, if it is set, once the frame has been handled.
+    static void postFrame(const std::shared_ptr<EventDispatcher> &self, std::shared_ptr<const Frame> frame, std::function<void()> handled)
     {
-        self->loop.post([self, frame = std::move(frame)] {
-            if (!self->isEnded && self->events.arrived) {
-                self->events.arrived(*frame);
+        self->loop.post([self, frame = std::move(frame), handled = std::move(handled)]() mutable {
+            try {
+                if (!self->isEnded && self->events.arrived) {
+                    self->events.arrived(*frame);
+                }
+            } catch (...) {
+                if (handled) {
+                    handled();
+                }
+                throw;
+            }
+            frame.reset();
+            if (handled) {
+                handled();
             }
         });
     }
@@ -105,9 +129,29 @@
             close();
             return;
         }
-        EventDispatcher::postFrame(m_dispatcher, std::make_shared<const Frame>(std::move(m_incoming)));
+        auto frame = std::make_shared<const Frame>(std::move(m_incoming));
         m_incoming = Frame();
-        StartRead(&m_incoming);
+        if (frame->ByteSizeLong() <= largeFrameBytes) {
+            EventDispatcher::postFrame(m_dispatcher, std::move(frame), {});
+            StartRead(&m_incoming);
+            return;
+        }
+        EventDispatcher::postFrame(m_dispatcher, std::move(frame), [self = m_self] {
+            self->readNext();
+        });
+    }
+    /// Reads on after a large frame, unless the stream was closed meanwhile.
+    void readNext()
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_isClosed) {
+            StartRead(&m_incoming);
+        }
+    }
+    std::size_t unwrittenBytes() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_writeQueue.bytes();
     }
     void OnWriteDone(bool isOk) override
     {
@@ -129,7 +173,7 @@
     std::unique_ptr<link::v1::InstanceLink::Stub> m_stub;
     grpc::ClientContext m_context;
     Frame m_incoming;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     WriteQueue m_writeQueue;
     bool m_isClosed = false;
 };
@@ -149,6 +193,10 @@
     {
         m_stream->write(frame);
     }
+    std::size_t unwrittenBytes() const override
+    {
+        return m_stream->unwrittenBytes();
+    }
     void close() override
     {
         m_dispatcher->isEnded = true;
@@ -169,7 +217,10 @@
     explicit ServerHandle(ServerStream *stream) : m_stream(stream)
     {}
     void write(const Frame &frame) override;
+    std::size_t unwrittenBytes() const override;
     void close() override;
+    /// Reads on after a large frame.
+    void readNext();
     void streamDone()
     {
         const std::lock_guard lock(m_mutex);
@@ -177,7 +228,7 @@
     }
 
 private:
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     ServerStream *m_stream;
 };
 
@@ -216,9 +267,28 @@
             finish();
             return;
         }
-        EventDispatcher::postFrame(m_dispatcher, std::make_shared<const Frame>(std::move(m_incoming)));
+        auto frame = std::make_shared<const Frame>(std::move(m_incoming));
         m_incoming = Frame();
-        StartRead(&m_incoming);
+        if (frame->ByteSizeLong() <= largeFrameBytes) {
+            EventDispatcher::postFrame(m_dispatcher, std::move(frame), {});
+            StartRead(&m_incoming);
+            return;
+        }
+        EventDispatcher::postFrame(m_dispatcher, std::move(frame), [handle = m_handle] {
+            handle->readNext();
+        });
+    }
+    void readNext()
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_isFinished) {
+            StartRead(&m_incoming);
+        }
+    }
+    std::size_t unwrittenBytes() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_writeQueue.bytes();
     }
     void OnWriteDone(bool isOk) override
     {
@@ -243,7 +313,7 @@
     std::shared_ptr<ServerHandle> m_handle;
     std::shared_ptr<EventDispatcher> m_dispatcher;
     Frame m_incoming;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     WriteQueue m_writeQueue;
     bool m_isFinished = false;
 };
@@ -256,6 +326,20 @@
     }
 }
 
+std::size_t ServerHandle::unwrittenBytes() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_stream == nullptr ? 0 : m_stream->unwrittenBytes();
+}
+
+void ServerHandle::readNext()
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_stream != nullptr) {
+        m_stream->readNext();
+    }
+}
+
 void ServerHandle::close()
 {
     const std::lock_guard lock(m_mutex);
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -89,6 +89,7 @@
     void requestSnapshot();
     internal::FrameEvents acceptPeer(const std::shared_ptr<internal::FrameStream> &stream);
     void handlePeerRequest(const std::string &peerName, const std::shared_ptr<internal::FrameStream> &stream, const link::v1::Frame &frame);
+    void withholdRows(const std::string &peerName, const link::v1::TransactionEnd &transaction, link::v1::StatementReply &reply);
     void handlePeerReply(const internal::HomeStream &home, const link::v1::Frame &frame);
     void pollDrain(const std::function<void()> &drained);
 
@@ -139,6 +140,11 @@
     m_implementation->drain(std::move(closeFront), drained);
 }
 
+kernel::Metrics &SessionInstance::metrics()
+{
+    return m_implementation->metrics;
+}
+
 std::string SessionInstance::metricsText() const
 {
     std::ostringstream text;
@@ -153,6 +159,9 @@
     text << "rattanbeam_sessions " << m_implementation->entry.sessions() << '\n';
     text << "rattanbeam_member_connections " << m_implementation->homes.connections() << '\n';
     text << "rattanbeam_open_transactions " << m_implementation->homes.openTransactions() << '\n';
+    text << "rattanbeam_forwarded_bytes " << m_implementation->entry.forwardedBytes() << '\n';
+    text << "rattanbeam_accepted_bytes " << m_implementation->homes.acceptedBytes() << '\n';
+    text << "rattanbeam_refused_for_memory_total " << m_implementation->homes.refusedForMemory() << '\n';
     return text.str();
 }
 
@@ -354,6 +363,9 @@
                                                         const link::v1::Frame &frame)
 {
     link::v1::Frame answer;
+    link::v1::TransactionEnd key;
+    key.set_session(frame.statement().session());
+    key.set_transaction(frame.statement().transaction());
     switch (frame.body_case()) {
     case link::v1::Frame::kPing:
         answer.mutable_pong()->set_number(frame.ping().number());
@@ -362,9 +374,12 @@
         stream->write(answer);
         break;
     case link::v1::Frame::kStatement:
-        homes.handleStatement(peerName, frame.statement(), [stream](const link::v1::StatementReply &reply) {
+        homes.handleStatement(peerName, frame.statement(), [this, peerName, stream, key](const link::v1::StatementReply &reply) {
             link::v1::Frame message;
             *message.mutable_reply() = reply;
+            if (reply.rows_size() > 0 && stream->unwrittenBytes() > settings.clients.maxAcceptedBytes) {
+                withholdRows(peerName, key, *message.mutable_reply());
+            }
             stream->write(message);
         });
         break;
@@ -393,6 +408,24 @@
     }
 }
 
+/// Replaces the answer by an error that promises nothing, and ends the transaction, which failed for the client.
+void SessionInstance::Implementation::withholdRows(const std::string &peerName,
+                                                   const link::v1::TransactionEnd &transaction,
+                                                   link::v1::StatementReply &reply)
+{
+    metrics.count("answers_withheld");
+    reply.clear_rows();
+    reply.clear_signature();
+    reply.set_error(static_cast<std::uint32_t>(StatementError::TimedOut));
+    reply.set_error_text("entry-reads-too-slowly");
+    if (transaction.transaction() != 0) {
+        reply.set_is_open(false);
+        loop.post([this, peerName, transaction] {
+            homes.endTransaction(peerName, transaction);
+        });
+    }
+}
+
 void SessionInstance::Implementation::handlePeerReply(const internal::HomeStream &home, const link::v1::Frame &frame)
 {
     switch (frame.body_case()) {
--- a/sessions/src/sessionsettings.cpp
+++ b/sessions/src/sessionsettings.cpp
@@ -65,6 +65,29 @@
     return static_cast<std::uint32_t>(std::max(1.0, std::round(cores * 1000)));
 }
 
+/// Limits on clients. The defaults of memory and descriptors are those of a small server; the platform names the machine's own.
+void readClientLimits(IniReader &reader, SessionSettings &settings)
+{
+    constexpr std::int64_t mebibyte = 1 << 20;
+    const std::int64_t memory = reader.integer("limits", "memory", {64, mebibyte}, 1024);
+    const auto defaultMemory = static_cast<std::int64_t>(decisions::session::defaultClientBytes(static_cast<std::size_t>(memory)));
+    const std::int64_t clientMemory = reader.integer("limits", "client-memory", {8, mebibyte}, defaultMemory);
+    if (clientMemory >= memory) {
+        reader.fail("limits", "client-memory", "has to be less than memory, which is " + std::to_string(memory));
+    }
+    settings.clientBytes = static_cast<std::size_t>(clientMemory * mebibyte);
+    settings.descriptors = static_cast<std::uint32_t>(reader.integer("limits", "descriptors", {256, mebibyte}, 8192));
+    decisions::session::deriveLimits(settings.clients, settings.clientBytes, settings.descriptors);
+    const auto readAhead = static_cast<std::int64_t>(settings.clients.readAheadBytes / 1024);
+    settings.clients.readAheadBytes
+        = static_cast<std::size_t>(reader.integer("limits", "connection-memory", {64, mebibyte}, readAhead)) * 1024;
+    settings.clients.maxStatementsAhead = static_cast<std::size_t>(
+        reader.integer("limits", "statements-ahead", {1, 1024}, static_cast<std::int64_t>(settings.clients.maxStatementsAhead)));
+    settings.clients.setupTimeout = reader.duration("limits", "setup-timeout", {100, 600'000}, settings.clients.setupTimeout);
+    settings.clients.messageTimeout = reader.duration("limits", "message-timeout", {100, 600'000}, settings.clients.messageTimeout);
+    settings.clients.answerTimeout = reader.duration("limits", "answer-timeout", {100, 600'000}, settings.clients.answerTimeout);
+}
+
 } // namespace
 
 decisions::Result<SessionSettings> parseSessionSettings(const std::string &text)
@@ -86,6 +109,7 @@
     settings.grace = reader.duration("limits", "grace", {500, 600'000}, 6s);
     settings.configurationBound = reader.duration("limits", "configuration-bound", {500, 600'000}, 3s);
     settings.processorMilli = readProcessorMilli(reader);
+    readClientLimits(reader, settings);
     const std::string level = reader.choice("log", "level", {"debug", "info", "warning", "error"}, "info");
     settings.logLevel = level == "debug"     ? kernel::LogLevel::Debug
                         : level == "warning" ? kernel::LogLevel::Warning
--- a/sessions/test/fakeplatform.h
+++ b/sessions/test/fakeplatform.h
@@ -276,8 +276,9 @@
 class InstanceFixture
 {
 public:
-    explicit InstanceFixture(bool isStoreAvailable = true)
+    explicit InstanceFixture(bool isStoreAvailable = true, const ClientLimits &clientLimits = {})
     {
+        settings.clients = clientLimits;
         auto fakeStore = std::make_unique<FakeStore>(loop);
         auto fakeMembers = std::make_unique<FakeMembers>(loop);
         store = fakeStore.get();
--- a/sessions/test/sessioninstance_test.cpp
+++ b/sessions/test/sessioninstance_test.cpp
@@ -177,6 +177,63 @@
     CHECK(committingClient->answers.back().error == StatementError::InDoubt);
 }
 
+TEST_CASE("Statements for which entry or home have no room are refused as not run, small ones and later ones are served",
+          "[sessioninstance]")
+{
+    const bool isEntryFull = GENERATE(true, false);
+    ClientLimits limits;
+    (isEntryFull ? limits.maxForwardedBytes : limits.maxAcceptedBytes) = 100'000;
+    InstanceFixture fixture(true, limits);
+    REQUIRE(fixture.runUntil([&] {
+        return fixture.instance->isReady();
+    }));
+    FrontHandler &front = fixture.instance->front();
+    const auto write = [](const std::string &id, std::size_t bytes) {
+        Statement statement = InstanceFixture::makeWriteStatement(id);
+        statement.arguments.resize(bytes, 'x');
+        return statement;
+    };
+    const auto [first, firstClient] = fixture.openSession();
+    REQUIRE(fixture.runUntil([&, session = first, &answers = firstClient->answers] {
+        if (answers.empty() || !answers.back().isSuccess()) {
+            front.statementArrived(session, write("w" + std::to_string(answers.size()), 10));
+        }
+        return !answers.empty() && answers.back().isSuccess();
+    }));
+    const auto [second, secondClient] = fixture.openSession();
+    const auto [small, smallClient] = fixture.openSession();
+    const auto [transaction, transactionClient] = fixture.openSession();
+    Statement begin;
+    begin.kind = StatementKind::Begin;
+    front.statementArrived(transaction, begin);
+    front.statementArrived(transaction, write("t1", 10));
+    REQUIRE(fixture.runUntil([&, client = transactionClient] {
+        return client->answers.size() == 2;
+    }));
+    const std::size_t answersBefore = firstClient->answers.size();
+    fixture.members->executionTime = 100ms;
+    front.statementArrived(first, write("large", 60'000));
+    front.statementArrived(second, write("refused", 60'000));
+    front.statementArrived(transaction, write("refused", 60'000));
+    front.statementArrived(small, write("small", 100));
+    REQUIRE(fixture.runUntil([&, one = firstClient, two = secondClient, three = transactionClient, four = smallClient] {
+        return one->answers.size() == answersBefore + 1 && two->answers.size() == 1 && three->answers.size() == 3
+               && four->answers.size() == 1;
+    }));
+    CHECK(firstClient->answers.back().isSuccess());
+    CHECK(secondClient->answers.back().error == StatementError::Busy);
+    CHECK(transactionClient->answers.back().error == StatementError::Aborted);
+    CHECK(transactionClient->answers.back().phase == SessionPhase::Failed);
+    CHECK(smallClient->answers.back().isSuccess());
+    front.statementArrived(second, write("later", 60'000));
+    REQUIRE(fixture.runUntil([&, client = secondClient] {
+        return client->answers.size() == 2;
+    }));
+    CHECK(secondClient->answers.back().isSuccess());
+    const auto &executed = fixture.members->executedStatements;
+    CHECK(std::count(executed.begin(), executed.end(), "refused") == 0);
+}
+
 TEST_CASE("Store watches that have to detect changes within a time limit wait for at most 20 s", "[sessioninstance]")
 {
     InstanceFixture fixture;
@@ -216,6 +273,10 @@
     CHECK(parseSessionSettings(validSettings + "[limits]\nprocessor-share = 0.25\nprocessor-speed = 2\n")->processorMilli == 500);
     CHECK_FALSE(parseSessionSettings(validSettings + "[limits]\nprocessor-share = 0\n"));
     CHECK_FALSE(parseSessionSettings(validSettings + "[limits]\nprocessor-share = 1e\n"));
+    CHECK(parseSessionSettings(validSettings + "[limits]\nmemory = 160\ndescriptors = 4200\n")->clients.maxConnections == 2950);
+    CHECK(parseSessionSettings(validSettings + "[limits]\nmemory = 160\n")->clientBytes == 60U << 20U);
+    CHECK_FALSE(parseSessionSettings(validSettings + "[limits]\nmemory = 160\nclient-memory = 160\n"));
+    CHECK_FALSE(parseSessionSettings(validSettings + "[limits]\nsetup-timeout = 0s\n"));
     CHECK_FALSE(parseSessionSettings("[interface]\nkind = sessions\n"));
     const auto error = parseSessionSettings(validSettings + "[peers]\nseeds = 10.0.0.1\n");
     REQUIRE_FALSE(error);
--- a/systemtests/test/clients_test.cpp
+++ b/systemtests/test/clients_test.cpp
@@ -35,7 +35,7 @@
 constexpr std::size_t largeBytes = 1'000'000;
 constexpr std::size_t largeRowBytes = 500'000;
 /// Limits of the instances under test, lower than the defaults.
-const std::string limitSettings;
+const std::string limitSettings = "memory = 160\ndescriptors = 512\n";
 
 tcp::endpoint endpointOf(const std::string &address)
 {
