--- a/systemtests/test/clients_test.cpp
+++ b/systemtests/test/clients_test.cpp
@@ -169,10 +169,12 @@
             }
         });
         m_socket.async_connect(m_front, [self = shared_from_this()](const boost::system::error_code &error) {
-            if (!error) {
-                boost::asio::write(self->m_socket, boost::asio::buffer(std::string("SETUP orders key\r\nQUERY ordinary READ 1\r\n")));
-                self->read();
+            if (error) {
+                self->startLater();
+                return;
             }
+            boost::asio::write(self->m_socket, boost::asio::buffer(std::string("SETUP orders key\r\nQUERY ordinary READ 1\r\n")));
+            self->read();
         });
     }
     bool isAnswered() const
@@ -181,18 +183,22 @@
     }
 
 private:
+    void startLater()
+    {
+        m_timer.expires_after(100ms);
+        m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+            if (!error) {
+                self->start();
+            }
+        });
+    }
     void read()
     {
         const auto received = [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
             std::string line;
             std::istream stream(&self->m_input);
             if (error || !std::getline(stream, line) || line.rfind("ERROR", 0) == 0) {
-                self->m_timer.expires_after(100ms);
-                self->m_timer.async_wait([self](const boost::system::error_code &waitError) {
-                    if (!waitError) {
-                        self->start();
-                    }
-                });
+                self->startLater();
                 return;
             }
             self->m_isAnswered = line.rfind("DONE", 0) == 0;
