--- a/systemtests/test/clients_test.cpp
+++ b/systemtests/test/clients_test.cpp
@@ -153,8 +153,12 @@
 class OrdinaryClient : public std::enable_shared_from_this<OrdinaryClient>
 {
 public:
-    OrdinaryClient(boost::asio::io_context &context, const std::string &front)
-        : m_context(context), m_socket(context), m_timer(context), m_front(endpointOf(front))
+    OrdinaryClient(boost::asio::io_context &context, const std::string &front, const std::string &statement)
+        : m_context(context)
+        , m_socket(context)
+        , m_timer(context)
+        , m_front(endpointOf(front))
+        , m_text("SETUP orders key\r\nQUERY ordinary " + statement + "\r\n")
     {}
     void start()
     {
@@ -173,7 +177,7 @@
                 self->startLater();
                 return;
             }
-            boost::asio::write(self->m_socket, boost::asio::buffer(std::string("SETUP orders key\r\nQUERY ordinary READ 1\r\n")));
+            boost::asio::write(self->m_socket, boost::asio::buffer(self->m_text));
             self->read();
         });
     }
@@ -215,6 +219,7 @@
     tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
     tcp::endpoint m_front;
+    std::string m_text;
     boost::asio::streambuf m_input;
     bool m_isAnswered = false;
 };
@@ -294,6 +299,13 @@
             step();
         }
     }
+    /// Whether both instances answer the statement.
+    bool isServedEverywhere(const std::string &statement)
+    {
+        return std::all_of(m_instances.begin(), m_instances.end(), [&](const Instance &instance) {
+            return isServed(instance, statement);
+        });
+    }
     /// Checks the processes while the crowd's connections are still open, and that both serve an ordinary client.
     void check()
     {
@@ -348,9 +360,9 @@
         }
     }
     /// Whether an ordinary client is answered; a process that hangs does not answer within the limit.
-    bool isServed(const Instance &instance)
+    bool isServed(const Instance &instance, const std::string &statement = "READ 1")
     {
-        const auto client = std::make_shared<OrdinaryClient>(m_context, instance.front);
+        const auto client = std::make_shared<OrdinaryClient>(m_context, instance.front, statement);
         client->start();
         const auto end = Clock::now() + 20s;
         while (!client->isAnswered() && Clock::now() < end) {
@@ -471,4 +483,15 @@
     fleet.check();
 }
 
+// Without a crowd, the limits of the smallest machine must not refuse a single message of legal size.
+
+TEST_CASE("Single statements and answers of legal size are served", "[clients]")
+{
+    CrowdFleet fleet("single");
+    CHECK(fleet.isServedEverywhere("WRITE 1 " + std::string(largeBytes, 'x')));
+    fleet.member().faults().rowBytes = largeBytes;
+    CHECK(fleet.isServedEverywhere("READ 1"));
+    fleet.check();
+}
+
 } // namespace rattanbeam::systemtests
