--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -293,6 +293,8 @@
     void workConnectionLost(WorkNumber number, StatementError reason, TimePoint now);
     void disconnectMember(Member &member, TimePoint now);
     void askStatus(Member &member, TimePoint now);
+    /// Resets connections at rest whose values are large.
+    void resetLargeIdleConnections(Member &member, TimePoint now);
     void maintainConnections(Member &member, TimePoint now);
     void removeMember(const MemberId &id, TimePoint now);
     static bool isRetryable(const Work &work, StatementError error);
--- a/decisions/include/rattanbeam/decisions/session/memberconnections.h
+++ b/decisions/include/rattanbeam/decisions/session/memberconnections.h
@@ -20,6 +20,8 @@
     ConnectionNumber number = 0;
     bool isOpen = false;
     SessionValues values;
+    /// Bytes of the values.
+    std::size_t valueBytes = 0;
     std::set<std::string> preparedNames;
     /// The open transaction to which the connection is reserved.
     std::optional<TransactionKey> pinnedBy;
@@ -76,6 +78,8 @@
 
 /// Statements that a home prepares on one connection; then the connection is reset, so that neither side keeps any number of them.
 inline constexpr std::size_t maxPreparedPerConnection = 1024;
+/// Bytes of values beyond which a connection at rest is reset: many connections may have served a session with large values.
+inline constexpr std::size_t maxIdleValueBytes = 64 << 10;
 
 /// A home's connections to one member.
 class MemberConnections
--- a/decisions/src/session/grouphomeconnections.cpp
+++ b/decisions/src/session/grouphomeconnections.cpp
@@ -266,9 +266,13 @@
 {
     if (command.kind == CommandKind::Reset) {
         connection.values.clear();
+        connection.valueBytes = 0;
         connection.preparedNames.clear();
     } else if (command.statement.kind == StatementKind::SetValue) {
-        connection.values[command.statement.name] = command.statement.arguments;
+        std::string &value = connection.values[command.statement.name];
+        connection.valueBytes += command.statement.arguments.size();
+        connection.valueBytes -= value.size();
+        value = command.statement.arguments;
     } else if (command.statement.kind == StatementKind::Prepare) {
         connection.preparedNames.insert(command.statement.name);
     }
@@ -294,6 +298,18 @@
     return false;
 }
 
+void GroupHome::resetLargeIdleConnections(Member &member, TimePoint now)
+{
+    for (auto &[number, connection] : member.connections.all()) {
+        if (connection.isIdle() && connection.valueBytes > maxIdleValueBytes) {
+            MemberCommand reset;
+            reset.kind = CommandKind::Reset;
+            connection.commands.push_back(reset);
+            sendNext(member, connection, now);
+        }
+    }
+}
+
 /// Opens connections up to the minimum, and closes those that have been unused for long.
 void GroupHome::maintainConnections(Member &member, TimePoint now)
 {
@@ -304,6 +320,7 @@
         openConnection(member, now);
     }
     const Duration idleLimit = m_isFirstHome ? m_limits.connectionIdleTimeout : substituteConnectionIdleTimeout;
+    resetLargeIdleConnections(member, now);
     std::vector<ConnectionNumber> unused;
     std::size_t kept = member.connections.totalCount();
     for (const auto &[number, connection] : member.connections.all()) {
--- a/decisions/test/session/clientbudget_test.cpp
+++ b/decisions/test/session/clientbudget_test.cpp
@@ -1,5 +1,7 @@
 // Guards against client bytes that are counted wrongly, a bound that does not hold, and small statements without a reserve.
 
+#include "fakegroup.h"
+
 #include "rattanbeam/decisions/session/clientbudget.h"
 #include "rattanbeam/decisions/session/memberconnections.h"
 
@@ -105,4 +107,27 @@
     CHECK(preparationCommands(connection, {}, "new", "READ q").size() == 1);
 }
 
+TEST_CASE("A connection that served a session with large values is reset once it is at rest", "[clients]")
+{
+    FakeGroup group;
+    group.makeHealthy();
+    const auto countResets = [&] {
+        return std::count_if(group.pendingCommands.begin(), group.pendingCommands.end(), [](const FakeGroup::SentCommand &each) {
+            return each.command.kind == CommandKind::Reset;
+        });
+    };
+    for (const std::size_t bytes : {maxIdleValueBytes, maxIdleValueBytes + 1}) {
+        HomeRequest request = group.writeRequest("w" + std::to_string(bytes));
+        request.values = std::make_shared<const SessionValues>(SessionValues{{"zone", std::string(bytes, 'x')}});
+        group.home.request(request, group.now);
+        group.answerAll();
+        REQUIRE(group.replyTo(request.number)->answer.isSuccess());
+        group.advanceTime(20ms);
+        CHECK(countResets() == (bytes > maxIdleValueBytes ? 1 : 0));
+    }
+    group.answerAll();
+    group.advanceTime(20ms);
+    CHECK(countResets() == 0);
+}
+
 } // namespace rattanbeam::decisions::session::test
