--- a/sessions/test/fakeplatform.h
+++ b/sessions/test/fakeplatform.h
@@ -176,6 +176,8 @@
     std::set<std::string> downMembers; ///< Members that refuse connections.
     std::vector<std::string> executedStatements; ///< Identifiers of the clients' statements, in order of arrival.
     decisions::Duration executionTime{};
+    /// Length of the row in each answer; there is none if it is 0.
+    std::size_t rowBytes = 0;
     /// Terms of the fences, and when each member was fenced first.
     std::map<std::string, decisions::Term> fenceTerms;
     std::map<std::string, TimePoint> fencedSince;
@@ -201,6 +203,9 @@
                 = Answer::success(command.statement.kind == StatementKind::Begin ? SessionPhase::InTransaction : SessionPhase::Idle);
             answer.position = decisions::LogPosition{1, 1};
             answer.signature = isClientStatement ? "signed" : "";
+            if (isClientStatement && m_members.rowBytes > 0) {
+                answer.rows.assign(1, std::string(m_members.rowBytes, 'x'));
+            }
             std::optional<ReplicationStatus> status;
             if (command.kind == CommandKind::Suspend) {
                 m_members.fenceTerms[m_member.id.text()] = command.term;
@@ -276,7 +281,9 @@
 class InstanceFixture
 {
 public:
-    explicit InstanceFixture(bool isStoreAvailable = true, const ClientLimits &clientLimits = {})
+    explicit InstanceFixture(bool isStoreAvailable = true,
+                             const ClientLimits &clientLimits = {},
+                             const std::string &peerAddress = "127.0.0.1:0")
     {
         settings.clients = clientLimits;
         auto fakeStore = std::make_unique<FakeStore>(loop);
@@ -288,7 +295,7 @@
         settings.instance = decisions::InstanceId("a1");
         settings.domain = decisions::FailureDomain("a");
         settings.ip = "127.0.0.1";
-        settings.peerAddress = "127.0.0.1:0";
+        settings.peerAddress = peerAddress;
         settings.grace = 4s;
         settings.configurationBound = 3s;
         instance = std::make_unique<SessionInstance>(
