--- a/sessions/include/rattanbeam/sessions/sessionsettings.h
+++ b/sessions/include/rattanbeam/sessions/sessionsettings.h
@@ -2,6 +2,7 @@
 
 #include "rattanbeam/decisions/identifiers.h"
 #include "rattanbeam/decisions/result.h"
+#include "rattanbeam/decisions/session/clientbudget.h"
 #include "rattanbeam/decisions/session/quotamessages.h"
 #include "rattanbeam/kernel/logevent.h"
 
@@ -38,6 +39,11 @@
     decisions::session::QuotaBound quotaBound;
     /// Whether members that have started, recovered or failed are given their slots step by step.
     bool isPaceEnabled = true;
+    /// Descriptors that the process may open.
+    std::uint32_t descriptors = 0;
+    /// Bytes kept for clients.
+    std::size_t clientBytes = 0;
+    decisions::session::ClientLimits clients;
     kernel::LogLevel logLevel = kernel::LogLevel::Info;
     /// Maximum number of log lines per second, and as many again for warnings. Successful requests may use a tenth of it.
     std::uint32_t logLinesPerSecond = 0;
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -197,6 +197,7 @@
     , m_links(links)
     , m_quotas(quotas)
     , m_ports(ports)
+    , m_acceptedBudget(std::make_shared<decisions::session::StatementBudget>(settings.clients.maxAcceptedBytes))
 {}
 
 HomeService::~HomeService() = default;
@@ -299,6 +300,18 @@
     if (redirect(message, callback)) {
         return;
     }
+    const std::size_t bytes = message.ByteSizeLong();
+    if (!m_acceptedBudget->tryAdd(bytes)) {
+        refuseForMemory(entry, message, callback);
+        return;
+    }
+    // Released with the callback, whether the statement is answered, refused or dropped with its entry.
+    const std::shared_ptr<const void> heldBytes(nullptr, [budget = m_acceptedBudget, bytes](const void *) {
+        budget->release(bytes);
+    });
+    callback = [heldBytes, answer = std::move(callback)](const link::v1::StatementReply &reply) {
+        answer(reply);
+    };
     const TimePoint now = EventLoop::now();
     const WorkspaceName workspace(message.workspace());
     const bool isOperation = message.transaction() == 0 || message.opens();
@@ -347,6 +360,27 @@
     }
 }
 
+void HomeService::refuseForMemory(const std::string &entry, const link::v1::StatementRequest &message, const ReplyCallback &callback)
+{
+    ++m_refusedForMemory;
+    const bool isInTransaction = message.transaction() != 0;
+    if (isInTransaction && !message.opens()) {
+        link::v1::TransactionEnd end;
+        end.set_session(message.session());
+        end.set_transaction(message.transaction());
+        endTransaction(entry, end);
+    }
+    LogEvent("request-refused")
+        .with("request", message.id())
+        .with("service", message.service())
+        .with("error", isInTransaction ? StatementError::Aborted : StatementError::Busy)
+        .with("reason", "home-memory");
+    HomeReply refusal;
+    refusal.answer = Answer::failure(
+        isInTransaction ? StatementError::Aborted : StatementError::Busy, "home-memory retry-after-ms=500", SessionPhase::Idle);
+    callback(statementReply(message.request(), refusal));
+}
+
 void HomeService::endTransaction(const std::string &entry, const link::v1::TransactionEnd &end)
 {
     const TimePoint now = EventLoop::now();
