--- a/decisions/test/session/grouphomeepoch_test.cpp
+++ b/decisions/test/session/grouphomeepoch_test.cpp
@@ -37,11 +37,11 @@
 {
     int reads = group.termReads;
     for (Duration elapsed{}; elapsed < time; elapsed += 10ms) {
+        group.advanceTime(10ms);
         group.answerAll();
         if (std::exchange(reads, group.termReads) != group.termReads) {
             group.home.termSeen(group.storedTerm, group.storeRevision(), group.now, group.now);
         }
-        group.advanceTime(10ms);
     }
 }
 
--- a/sessions/include/rattanbeam/sessions/internal/homeservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/homeservice.h
@@ -62,8 +62,6 @@
     /// This process was suspended for `pause`.
     /// The store has come back from an older copy.
     void storeEpochChanged(std::uint64_t epoch);
-    /// The store has come back from an older copy.
-    void storeEpochChanged(std::uint64_t epoch);
     void paused(decisions::Duration pause);
     /// Whether requests are redirected to other homes, except those of open transactions. To be set while this instance is leaving or
     /// overloaded.
