--- a/standins/include/rattanbeam/standins/sessions/objectstore.h
+++ b/standins/include/rattanbeam/standins/sessions/objectstore.h
@@ -33,6 +33,8 @@
     std::string path;
     std::map<std::string, std::string> query;
     nlohmann::json body;
+    /// Header fields; names in lower case.
+    std::map<std::string, std::string> headers{};
 };
 
 /// A small HTTP server whose handler answers now or later.
--- a/standins/src/sessions/httpserver.cpp
+++ b/standins/src/sessions/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "rattanbeam/standins/sessions/listening.h"
 
+#include <boost/algorithm/string/case_conv.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -29,6 +30,9 @@
         question.query[pair.substr(0, equals)] = equals == std::string::npos ? "" : pair.substr(equals + 1);
     }
     question.body = nlohmann::json::parse(request.body(), nullptr, false);
+    for (const auto &field : request.base()) {
+        question.headers[boost::algorithm::to_lower_copy(std::string(field.name_string()))] = std::string(field.value());
+    }
     return question;
 }
 
--- a/systemtests/include/rattanbeam/systemtests/soak/soakfleet.h
+++ b/systemtests/include/rattanbeam/systemtests/soak/soakfleet.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <random>
 #include <string>
@@ -86,6 +87,9 @@
     Undo disturbStore(int kind);
     Undo disturbMember(int kind, int durationMs);
     Undo disturbGroup(int kind);
+    Undo returnStoreFromCopy();
+    void keepCopies();
+    void writeConfiguration();
     void healAll();
     void putConfiguration();
     void answerPromotion(const standins::sessions::HttpQuestion &question, const standins::sessions::HttpServer::Answer &answer);
@@ -106,6 +110,12 @@
     SoakWorld m_world;
     std::vector<std::pair<Clock::time_point, Undo>> m_undo;
     std::vector<std::string> m_faults;
+    /// Promises to the platform that were broken.
+    std::vector<std::string> m_findings;
+    std::uint64_t m_highestToken = 0;
+    /// Copies of the store, oldest first, and when they were made.
+    std::deque<std::pair<Clock::time_point, standins::sessions::ObjectStore::Copy>> m_copies;
+    bool m_isStoreReturning = false;
     Clock::time_point m_startedAt;
     Clock::time_point m_nextFaultAt;
     bool m_arePromotionsDown = false;
--- a/systemtests/src/soak/soakfaults.cpp
+++ b/systemtests/src/soak/soakfaults.cpp
@@ -13,13 +13,15 @@
 {
 
 constexpr std::chrono::milliseconds registrationLapse = 3600ms;
+constexpr std::chrono::milliseconds copyInterval = 250ms; // between copies of the store
+constexpr std::chrono::milliseconds oldestCopy = 8s;
 
 } // namespace
 
 void SoakFleet::beginFault()
 {
     const int durationMs = pick(300, 5000);
-    const int kind = pick(0, 19);
+    const int kind = pick(0, 21);
     Undo undo;
     if (kind < 7) {
         undo = disturbInstance(kind, durationMs);
@@ -27,8 +29,10 @@
         undo = disturbStore(kind - 7);
     } else if (kind < 17) {
         undo = disturbMember(kind - 12, durationMs);
-    } else {
+    } else if (kind < 20) {
         undo = disturbGroup(kind - 17);
+    } else {
+        undo = returnStoreFromCopy();
     }
     if (undo) {
         m_undo.emplace_back(Clock::now() + std::chrono::milliseconds(durationMs), std::move(undo));
@@ -98,6 +102,49 @@
     };
 }
 
+/// Keeps copies of the last seconds.
+void SoakFleet::keepCopies()
+{
+    const auto now = Clock::now();
+    if (m_copies.empty() || now - m_copies.back().first >= copyInterval) {
+        m_copies.emplace_back(now, m_store.copy());
+    }
+    while (now - m_copies.front().first > oldestCopy) {
+        m_copies.pop_front();
+    }
+}
+
+/// The store goes away, and comes back from an older copy. What the operator and the members wrote since is written again.
+SoakFleet::Undo SoakFleet::returnStoreFromCopy()
+{
+    if (m_isStoreReturning) {
+        return {};
+    }
+    m_isStoreReturning = true;
+    note("store-away, to return from a copy");
+    for (const Instance &instance : m_instances) {
+        m_store.setMode(instance.storeDoor, standins::sessions::StoreMode::Busy);
+    }
+    return [this] {
+        const auto &[madeAt, copy] = m_copies[static_cast<std::size_t>(pick(0, static_cast<int>(m_copies.size()) - 1))];
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - madeAt).count();
+        note("store-returns copy_age_ms=" + std::to_string(age));
+        m_store.restore(copy);
+        m_copies.clear();
+        writeConfiguration();
+        for (auto &[id, member] : m_members) {
+            if (!member.isUp && member.written.empty()) {
+                m_store.remove("servers", id);
+            }
+            member.written.clear();
+        }
+        for (const Instance &instance : m_instances) {
+            m_store.setMode(instance.storeDoor, standins::sessions::StoreMode::Serves);
+        }
+        m_isStoreReturning = false;
+    };
+}
+
 SoakFleet::Undo SoakFleet::disturbMember(int kind, int durationMs)
 {
     auto at = m_members.begin();
--- a/systemtests/src/soak/soakfleet.cpp
+++ b/systemtests/src/soak/soakfleet.cpp
@@ -3,6 +3,7 @@
 #include "rattanbeam/standins/sessions/listening.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -74,6 +75,7 @@
                                                                                                   m_auditor.committed(commit);
                                                                                               }});
     }
+    m_store.setEra(1);
     putConfiguration();
     registerMembers();
     for (const char *name : {"a-1", "a-2", "b-1", "b-2", "c-1", "c-2"}) {
@@ -133,6 +135,12 @@
 }
 
 void SoakFleet::putConfiguration()
+{
+    m_version += static_cast<std::uint64_t>(pick(1, 5));
+    writeConfiguration();
+}
+
+void SoakFleet::writeConfiguration()
 {
     nlohmann::json list = nlohmann::json::array();
     for (const SoakRoute &route : m_world.routes) {
@@ -144,7 +152,6 @@
                         {"objectiveMs", route.objectiveMs},
                         {"maxStalenessMs", route.stalenessLimit.count()}});
     }
-    m_version += static_cast<std::uint64_t>(pick(1, 5));
     m_store.put("config",
                 "main",
                 {{"version", m_version},
@@ -187,6 +194,12 @@
         answer({503, nullptr});
         return;
     }
+    const auto token = question.headers.find("fence-token");
+    const std::uint64_t number = token == question.headers.end() ? 0 : std::strtoull(token->second.c_str(), nullptr, 10);
+    if (number < m_highestToken) {
+        m_findings.push_back("rule=TOKEN order=" + std::to_string(number) + " follows=" + std::to_string(m_highestToken));
+    }
+    m_highestToken = std::max(m_highestToken, number);
     const bool isDone = question.body.is_object() && m_group.promote(question.body.value("id", ""), Clock::now());
     note("promotion id=" + question.body.value("id", "") + " accepted=" + (isDone ? "true" : "false"));
     answer({isDone ? 200U : 409U, nullptr});
@@ -195,6 +208,7 @@
 void SoakFleet::tick()
 {
     m_group.advance(Clock::now());
+    keepCopies();
     registerMembers();
     keepInstances();
     const auto due = std::partition(m_undo.begin(), m_undo.end(), [](const auto &entry) {
@@ -283,6 +297,7 @@
     runFor(1s);
     m_auditor.finish();
     result.findings = m_auditor.findings();
+    result.findings.insert(result.findings.end(), m_findings.begin(), m_findings.end());
     result.counts = m_world.counts;
     result.acknowledged = m_auditor.acknowledgedCommits();
     result.lost = m_auditor.lostCommits();
