--- a/decisions/include/rattanbeam/decisions/session/homemessages.h
+++ b/decisions/include/rattanbeam/decisions/session/homemessages.h
@@ -125,8 +125,8 @@
     virtual void sendCommand(ConnectionNumber connection, const MemberCommand &command) = 0;
     virtual void closeConnection(ConnectionNumber connection) = 0;
     virtual void reply(RequestNumber request, const HomeReply &reply) = 0;
-    /// Writes the record if the stored one still has `expectedRevision`, which carries the store's epoch; 0 creates it. Answered by GroupHome::termSeen() and
-    /// GroupHome::termWriteFailed().
+    /// Writes the record if the stored one still has `expectedRevision`, which carries the store's epoch; 0 creates it. Answered by
+    /// GroupHome::termSeen() and GroupHome::termWriteFailed().
     virtual void writeTerm(const TermRecord &record, std::uint64_t expectedRevision) = 0;
     /// Linearizable read of the term record.
     virtual void readTerm() = 0;
--- a/decisions/src/session/grouphomeepoch.cpp
+++ b/decisions/src/session/grouphomeepoch.cpp
@@ -17,7 +17,8 @@
 // An order of promotion follows a read of the record by at most this (maxOrderEvidenceAge), so that later there are no orders that rest
 // on a record of the epoch before.
 constexpr Duration lastOrderDelay = 400ms;
-// In which a home that can confirm the primary writes the record again. Longer than lastOrderDelay and the time that an order needs to take effect.
+// In which a home that can confirm the primary writes the record again. Longer than lastOrderDelay and the time that an order needs to take
+// effect.
 constexpr Duration holderGrace = 3000ms;
 constexpr Duration settleRetryDelay = 1000ms; // between changes of primary that are to settle the record
 
@@ -102,8 +103,8 @@
 }
 
 /// The known primary, or the registered one of a service of which nothing is known, if it leads by its own word and no promotion can be
-/// under way; empty otherwise. A change of primary shows in a fence or in another leader from before its order until it is complete, so that
-/// the word of all other members is enough, or that of a witness while this home holds a lease. The word must be so late that no order
+/// under way; empty otherwise. A change of primary shows in a fence or in another leader from before its order until it is complete, so
+/// that the word of all other members is enough, or that of a witness while this home holds a lease. The word must be so late that no order
 /// can follow that rests on a record of an earlier epoch.
 MemberId GroupHome::confirmedLeader(TimePoint now) const
 {
@@ -179,7 +180,8 @@
     const bool hasPrimary = m_term || std::any_of(m_members.begin(), m_members.end(), [](const auto &entry) {
                                 return entry.second.isRegistered && entry.second.record.isRegisteredAsPrimary;
                             });
-    const bool isOrderly = now - std::max(m_storeEpochSeenAt, m_restoredSeenAt) > holderGrace && now - m_change.startedAt > settleRetryDelay;
+    const bool isOrderly
+        = now - std::max(m_storeEpochSeenAt, m_restoredSeenAt) > holderGrace && now - m_change.startedAt > settleRetryDelay;
     if (!hasPrimary || !isOrderly || now < m_redirectUntil || !(isSettledFirstHome(now) || isInUse(now))) {
         return;
     }
@@ -193,8 +195,8 @@
 /// Whether the record continues the reign that this home knows, with a generation of a later epoch.
 bool GroupHome::isSameReign(const TermRecord &record) const
 {
-    if (!m_term || m_change.stage != ChangeStage::None || m_primary.isEmpty() || record.primary != m_primary
-        || m_term->primary != m_primary || m_lease.generation() != m_term->generation) {
+    if (!m_term || m_change.stage != ChangeStage::None || m_primary.isEmpty() || record.primary != m_primary || m_term->primary != m_primary
+        || m_lease.generation() != m_term->generation) {
         return false;
     }
     const auto found = m_members.find(m_primary);
--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -304,8 +304,8 @@
     setLeaseWitnesses();
     m_lease.termRecordRead(record->generation, isListed, startedAt);
     // A write of this home that was given up on took effect after all: continues its change of primary.
-    const bool isOwnLateWrite = m_change.stage == ChangeStage::None && isNewer && isTermSettled() && record->primary.isEmpty() && !record->homes.empty()
-                                && record->homes.front() == m_self;
+    const bool isOwnLateWrite = m_change.stage == ChangeStage::None && isNewer && isTermSettled() && record->primary.isEmpty()
+                                && !record->homes.empty() && record->homes.front() == m_self;
     if (isOwnLateWrite) {
         m_change = {};
         m_change.startedAt = now;
--- a/decisions/test/session/grouphomeepoch_test.cpp
+++ b/decisions/test/session/grouphomeepoch_test.cpp
@@ -154,7 +154,8 @@
     group.restoreStore(std::nullopt, 1);
     for (int i = 0; i < 2000 && group.promotionOrders.empty(); ++i) {
         runWithStore(group, 10ms);
-        if (group.termWrites.back().first != group.storedTerm && group.termWrites.back().second == (group.storedTerm ? group.storeRevision() : 0)) {
+        if (group.termWrites.back().first != group.storedTerm
+            && group.termWrites.back().second == (group.storedTerm ? group.storeRevision() : 0)) {
             group.completeTermWrite();
         }
     }
--- a/sessions/include/rattanbeam/sessions/internal/directory.h
+++ b/sessions/include/rattanbeam/sessions/internal/directory.h
@@ -37,9 +37,9 @@
 /// watch the store. Other instances fetch changes from relays while two of them have a recent confirmation by the store, and watch
 /// the store themselves otherwise. Neither the version of the configuration nor the revision of a record ever decreases.
 ///
-/// When the store comes back from an older copy, its revisions go on in a new epoch (RecordStore), above all earlier ones. The records of the
-/// earlier epoch stay in use until those of the new one have been read; members and instances that the copy lacks stay for a moment more, in
-/// which they register again.
+/// When the store comes back from an older copy, its revisions go on in a new epoch (RecordStore), above all earlier ones. The records of
+/// the earlier epoch stay in use until those of the new one have been read; members and instances that the copy lacks stay for a moment
+/// more, in which they register again.
 class Directory
 {
 public:
--- a/sessions/src/internal/directory.cpp
+++ b/sessions/src/internal/directory.cpp
@@ -387,7 +387,8 @@
 bool Directory::isRetained(const CollectionState &state, const Record &record) const
 {
     const bool isRegistration = state.collection == Collection::Members || state.collection == Collection::Instances;
-    return isRegistration && storeEpochOf(record.revision) < m_storeEpoch && EventLoop::now() - m_storeEpochLearntAt < registrationRetention;
+    return isRegistration && storeEpochOf(record.revision) < m_storeEpoch
+           && EventLoop::now() - m_storeEpochLearntAt < registrationRetention;
 }
 
 void Directory::removeRetained()
@@ -423,7 +424,8 @@
         isChanged = applyRecord(state, record, startedAt) || isChanged;
     }
     for (auto entry = state.records.begin(); entry != state.records.end();) {
-        const bool isDeleted = !listedNames.contains(entry->first) && entry->second.revision <= revision && !isRetained(state, entry->second);
+        const bool isDeleted
+            = !listedNames.contains(entry->first) && entry->second.revision <= revision && !isRetained(state, entry->second);
         isChanged = isChanged || isDeleted;
         entry = isDeleted ? state.records.erase(entry) : std::next(entry);
     }
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -309,11 +309,8 @@
 link::v1::FenceReply HomeService::yieldLease(const link::v1::FenceRequest &request)
 {
     const auto found = m_serviceHomes.find(ServiceName(request.service()));
-    const bool isYielded
-        = found == m_serviceHomes.end() || found->second->home().yieldLease(request.generation(), EventLoop::now());
-    LogEvent(isYielded ? "lease-yielded" : "lease-kept")
-        .with("service", request.service())
-        .with("generation", request.generation());
+    const bool isYielded = found == m_serviceHomes.end() || found->second->home().yieldLease(request.generation(), EventLoop::now());
+    LogEvent(isYielded ? "lease-yielded" : "lease-kept").with("service", request.service()).with("generation", request.generation());
     link::v1::FenceReply reply;
     reply.set_number(request.number());
     if (isYielded) {
--- a/sessions/test/directory_test.cpp
+++ b/sessions/test/directory_test.cpp
@@ -178,9 +178,11 @@
     CHECK(fixture.runUntil([&] {
         return fixture.directory.members().front().address == "10.0.0.8:80";
     }));
-    CHECK(fixture.runUntil([&] {
-        return !fixture.memberNames().contains("m3"); // it did not
-    }, 8s));
+    CHECK(fixture.runUntil(
+        [&] {
+            return !fixture.memberNames().contains("m3"); // it did not
+        },
+        8s));
 }
 
 TEST_CASE("A configuration does not go back with the store", "[directory]")
--- a/sessions/test/sessioninstance_test.cpp
+++ b/sessions/test/sessioninstance_test.cpp
@@ -204,6 +204,41 @@
     }));
 }
 
+// What the instance wrote since the copy is lost: its registration, without which other instances pass it over, and the term record.
+TEST_CASE("An instance registers again and writes the term again after the store has come back from an older copy", "[sessioninstance]")
+{
+    InstanceFixture fixture;
+    const auto copy = fixture.store->records;
+    const std::uint64_t copiedRevision = fixture.store->revision;
+    const std::pair registration(Collection::Instances, std::string("a1"));
+    const std::pair term(Collection::Terms, std::string("orders"));
+    REQUIRE(fixture.runUntil([&] {
+        return fixture.instance->isReady() && fixture.store->records.contains(registration);
+    }));
+    const auto [writer, writingClient] = fixture.openSession();
+    fixture.instance->front().statementArrived(writer, InstanceFixture::makeWriteStatement("first"));
+    REQUIRE(fixture.runUntil([&, writing = writingClient] {
+        return writing->answers.size() == 1 && fixture.store->records.contains(term);
+    }));
+    const std::uint64_t generation = std::get<TermRecord>(fixture.store->records.at(term).value).generation;
+    fixture.store->restore(copy, copiedRevision);
+    REQUIRE_FALSE(fixture.store->records.contains(registration));
+    REQUIRE(fixture.runUntil(
+        [&] {
+            return fixture.store->records.contains(registration) && fixture.store->records.contains(term);
+        },
+        10s));
+    const auto &written = std::get<TermRecord>(fixture.store->records.at(term).value);
+    CHECK(written.generation > generation);
+    CHECK(written.primary == MemberId("m1"));
+    CHECK(fixture.instance->metricsText().find("rattanbeam_store_epoch 1\n") != std::string::npos);
+    fixture.instance->front().statementArrived(writer, InstanceFixture::makeWriteStatement("second"));
+    REQUIRE(fixture.runUntil([&, writing = writingClient] {
+        return writing->answers.size() == 2;
+    }));
+    CHECK(writingClient->answers.back().isSuccess());
+}
+
 TEST_CASE("Valid settings of the sessions interface are accepted, invalid ones rejected", "[sessionsettings]")
 {
     const std::string validSettings = "[interface]\nkind = sessions\n[instance]\nname = a1\ndomain = a\nip = 10.0.0.1\n[listen]\nfront = "
--- a/systemtests/src/soak/soakfleet.cpp
+++ b/systemtests/src/soak/soakfleet.cpp
@@ -3,8 +3,8 @@
 #include "rattanbeam/standins/sessions/listening.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <set>
