--- a/decisions/test/session/grouphomeepoch_test.cpp
+++ b/decisions/test/session/grouphomeepoch_test.cpp
@@ -106,6 +106,37 @@
     CHECK(group.timesSent("spanning") == 1);
 }
 
+// A home that does not know of the epoch may send an order up to 400 ms after its last read of the record.
+TEST_CASE("A term record is not written again before all orders that rest on a lost record were sent", "[grouphomeepoch]")
+{
+    const auto offset = GENERATE(range(0, 400, 40)); // since the members were asked for their status
+    FakeGroup group;
+    group.makeHealthy();
+    runFor(group, std::chrono::milliseconds(offset));
+    const std::size_t writes = group.termWrites.size();
+    group.restoreStore(std::nullopt, 3);
+    runFor(group, 390ms);
+    CHECK(group.termWrites.size() == writes);
+    runFor(group, 600ms);
+    CHECK(group.termWrites.size() > writes);
+}
+
+// A home that is cut off from the store does not know whether the store still lists it, so that a change of primary may not wait for it.
+TEST_CASE("A lease counts as listed for a limited time after a read of the record", "[grouphomeepoch]")
+{
+    PrimaryLease lease(1350ms);
+    const TimePoint readAt{1000s};
+    lease.restart(1, true, {m2});
+    lease.limitListing();
+    lease.termRecordRead(1, true, readAt);
+    const TimePoint answeredAt = readAt + PrimaryLease::witnessTerm - 100ms;
+    lease.replicaConfirmed(m2, {answeredAt - 50ms, readAt, answeredAt});
+    CHECK(lease.covers(answeredAt, answeredAt));
+    CHECK_FALSE(lease.covers(answeredAt + 200ms, answeredAt + 200ms));
+    lease.replicaConfirmed(m2, {answeredAt + 300ms, readAt, answeredAt + 310ms});
+    CHECK(lease.covers(answeredAt + 200ms, answeredAt + 400ms)); // the replicas' word is later than the answer
+}
+
 // The record of an earlier promotion is all that tells who led since: the restored one names the primary before it.
 TEST_CASE("A restored record never brings back a primary that was replaced", "[grouphomeepoch]")
 {
@@ -290,6 +321,9 @@
     FakeGroup group;
     group.makeHealthy();
     const std::uint64_t earlierRevision = group.storeRevision();
+    group.home.storeEpochChanged(1, group.now, group.now);
+    group.home.termSeen(term(2, m2, {"b1/1"}), earlierRevision + 1, group.now, group.now);
+    CHECK(group.home.primary() == m1);
     group.restoreStore(std::nullopt, 3);
     runFor(group, 1s);
     group.completeTermWrite();
