--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -340,6 +340,7 @@
 
     // Changes of the store's epoch
     bool isTermSettled() const;
+    bool recordStoredTerm(const TermRecord &record, std::uint64_t revision, TimePoint now);
     bool isSettledFirstHome(TimePoint now) const;
     void settleTerm(TimePoint now);
     std::optional<TermRecord> confirmedTerm(TimePoint now) const;
--- a/decisions/src/session/grouphomeepoch.cpp
+++ b/decisions/src/session/grouphomeepoch.cpp
@@ -3,6 +3,7 @@
 #include "rattanbeam/decisions/session/storeepoch.h"
 
 #include <algorithm>
+#include <utility>
 
 /// The term record after the store has come back from an older copy (docs/design/15-store-era.md).
 namespace rattanbeam::decisions::session
@@ -51,6 +52,21 @@
     abandonChange("store-epoch-changed", now);
 }
 
+/// Notes what the store shows. Returns whether the record's generation was begun in the store's present epoch; a record of an earlier one
+/// ends a change of primary.
+bool GroupHome::recordStoredTerm(const TermRecord &record, std::uint64_t revision, TimePoint now)
+{
+    const bool isOfEarlierEpoch = storeEpochOf(revision) < m_storeEpoch;
+    const bool isNewRevision = !isOfEarlierEpoch && std::exchange(m_termRevision, revision) != revision;
+    m_isTermOfEpoch = storeEpochOf(record.generation) >= m_storeEpoch;
+    if (!m_isTermOfEpoch) {
+        m_restoredTerm = isOfEarlierEpoch ? std::nullopt : std::optional(record);
+        m_restoredSeenAt = isNewRevision ? now : m_restoredSeenAt;
+        abandonChange("term-of-earlier-epoch", now);
+    }
+    return m_isTermOfEpoch;
+}
+
 /// Whether the store has been read in its present epoch, and shows a record that was begun in it. In epoch 0 there may also be none.
 bool GroupHome::isTermSettled() const
 {
--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -262,14 +262,8 @@
     if (revision < m_termRevision) {
         return;
     }
-    const bool isNewRevision = !isOfEarlierEpoch && std::exchange(m_termRevision, revision) != revision;
-    m_isTermOfEpoch = storeEpochOf(record->generation) >= m_storeEpoch;
-    if (!m_isTermOfEpoch) {
-        // The record may be older than a promotion, so that reading it is no evidence.
-        startedAt = distantPast;
-        m_restoredTerm = isOfEarlierEpoch ? std::nullopt : record;
-        m_restoredSeenAt = isNewRevision ? now : m_restoredSeenAt;
-        abandonChange("term-of-earlier-epoch", now);
+    if (!recordStoredTerm(*record, revision, now)) {
+        startedAt = distantPast; // the record may be older than a promotion, so that reading it is no evidence
         if (m_term && record->generation <= m_term->generation) {
             releaseHeld(now);
             return; // this home knows a later state
