--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -339,6 +339,7 @@
     std::set<MemberId> replicaIds() const;
 
     // Changes of the store's epoch
+    void ownGenerationWritten(const TermRecord &record, std::uint64_t revision, TimePoint now);
     bool isTermSettled() const;
     bool recordStoredTerm(const TermRecord &record, std::uint64_t revision, TimePoint now);
     bool isSettledFirstHome(TimePoint now) const;
--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -308,10 +308,7 @@
         m_change.leaseHolders.insert(std::next(record->homes.begin()), record->homes.end());
     }
     if (isOwnChange || isOwnLateWrite) {
-        m_change.oldPrimaryTerm = std::max<Term>(m_change.oldPrimaryTerm, record->term);
-        m_change.fencingToken = revision;
-        addPossibleWitnesses(now);
-        beginFencing(now);
+        ownGenerationWritten(*record, revision, now);
     } else if (m_change.stage != ChangeStage::None && isNewer) {
         abandonChange("another-home-changes-the-primary", now);
     }
@@ -322,6 +319,15 @@
     releaseHeld(now);
 }
 
+/// The store holds the generation that this home's change of primary began.
+void GroupHome::ownGenerationWritten(const TermRecord &record, std::uint64_t revision, TimePoint now)
+{
+    m_change.oldPrimaryTerm = std::max<Term>(m_change.oldPrimaryTerm, record.term);
+    m_change.fencingToken = revision;
+    addPossibleWitnesses(now);
+    beginFencing(now);
+}
+
 void GroupHome::adoptTerm(const TermRecord &record, TimePoint now)
 {
     m_effects.report({"term-adopted",
