--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -1,5 +1,7 @@
 #include "rattanbeam/decisions/session/grouphome.h"
 
+#include "rattanbeam/decisions/session/storeepoch.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -135,8 +137,7 @@
     if (m_withoutPrimarySince == distantPast || m_term || registeredPrimary() != m_members.end()) {
         m_withoutPrimarySince = now;
     }
-    const bool isSettledFirstHome = m_isFirstHome && now - m_firstHomeSince > firstHomeSettleTime;
-    if (!m_term && (isSettledFirstHome || isInUse(now))) {
+    if (!m_term && (isSettledFirstHome(now) || isInUse(now))) {
         ensureListedInTerm(now);
     }
 }
@@ -155,19 +156,27 @@
     return m_withoutPrimarySince != distantPast && now - m_withoutPrimarySince > primaryRegistrationTimeout && !reachableReplicas().empty();
 }
 
+bool GroupHome::isSettledFirstHome(TimePoint now) const
+{
+    return m_isFirstHome && now - m_firstHomeSince > firstHomeSettleTime;
+}
+
 /// Writes this home into the term record, so that a change of primary waits for its lease.
 void GroupHome::ensureListedInTerm(TimePoint now)
 {
     if (m_isWritingTerm || m_change.stage != ChangeStage::None || now - m_lastTermWriteAt < minTermWriteInterval) {
         return;
     }
-    if (!m_isTermKnown) {
+    if (!m_isTermReadInEpoch) {
         if (now - m_lastTermReadAt > minTermReadInterval) {
             m_lastTermReadAt = now;
             m_effects.readTerm();
         }
         return;
     }
+    if (!isTermSettled()) {
+        return; // settleTerm() writes the record
+    }
     TermRecord record;
     if (m_term) {
         if (m_term->primary.isEmpty() || (m_lease.isListed() && now - m_witnessesCheckedAt < witnessCheckInterval)) {
@@ -283,7 +292,13 @@
 
 void GroupHome::termSeen(const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt, TimePoint now)
 {
+    storeEpochChanged(storeEpochOf(revision), now, now);
+    const bool isOfEarlierEpoch = storeEpochOf(revision) < m_storeEpoch;
+    if (isOfEarlierEpoch && (m_term || !record)) {
+        return;
+    }
     m_isTermKnown = true;
+    m_isTermReadInEpoch = m_isTermReadInEpoch || !isOfEarlierEpoch;
     if (!record) {
         releaseHeld(now);
         return;
@@ -291,7 +306,13 @@
     if (revision < m_termRevision) {
         return;
     }
-    m_termRevision = revision;
+    if (!recordStoredTerm(*record, revision, now)) {
+        startedAt = distantPast; // the record may be older than a promotion, so that reading it is no evidence
+        if (m_term && record->generation <= m_term->generation) {
+            releaseHeld(now);
+            return; // this home knows a later state
+        }
+    }
     m_failedTermWrites = startedAt == distantPast ? m_failedTermWrites : 0; // the store has answered a read
     const bool isListed = std::find(record->homes.begin(), record->homes.end(), m_self) != record->homes.end();
     if (isListed) {
@@ -308,7 +329,9 @@
     if (isPrimaryNamed && isChangeUnwritten && !record->primary.isEmpty()) {
         abandonChange("another-home-named-the-primary", now);
     }
-    if (isNewer || (isPrimaryNamed && m_change.stage == ChangeStage::None)) {
+    if (isNewer && isSameReign(*record)) {
+        continueReign(*record);
+    } else if (isNewer || (isPrimaryNamed && m_change.stage == ChangeStage::None)) {
         adoptTerm(*record, now);
         m_lease.restart(record->generation, isListed, replicaIds());
         refuseUnconfirmableAnswers(now);
@@ -319,8 +342,8 @@
     setLeaseWitnesses();
     m_lease.termRecordRead(record->generation, isListed, startedAt);
     // A write of this home that was given up on took effect after all: continues its change of primary.
-    const bool isOwnLateWrite = m_change.stage == ChangeStage::None && isNewer && record->primary.isEmpty() && !record->homes.empty()
-                                && record->homes.front() == m_self;
+    const bool isOwnLateWrite = m_change.stage == ChangeStage::None && isNewer && isTermSettled() && record->primary.isEmpty()
+                                && !record->homes.empty() && record->homes.front() == m_self;
     if (isOwnLateWrite) {
         m_change = {};
         m_change.startedAt = now;
@@ -329,9 +352,7 @@
         m_change.leaseHolders.insert(std::next(record->homes.begin()), record->homes.end());
     }
     if (isOwnChange || isOwnLateWrite) {
-        m_change.oldPrimaryTerm = std::max<Term>(m_change.oldPrimaryTerm, record->term);
-        m_change.fencingToken = revision;
-        beginFencing(now);
+        ownGenerationWritten(*record, revision, now);
     } else if (m_change.stage != ChangeStage::None && isNewer) {
         abandonChange("another-home-changes-the-primary", now);
     }
@@ -342,6 +363,15 @@
     releaseHeld(now);
 }
 
+/// The store holds the generation that this home's change of primary began.
+void GroupHome::ownGenerationWritten(const TermRecord &record, std::uint64_t revision, TimePoint now)
+{
+    m_change.oldPrimaryTerm = std::max<Term>(m_change.oldPrimaryTerm, record.term);
+    m_change.fencingToken = revision;
+    addPossibleWitnesses(now);
+    beginFencing(now);
+}
+
 void GroupHome::adoptTerm(const TermRecord &record, TimePoint now)
 {
     m_effects.report({"term-adopted",
@@ -361,6 +391,7 @@
     m_term = record;
     m_primary = record.primary;
     if (!m_primary.isEmpty()) {
+        m_lastNamedPrimary = m_primary;
         m_leaderlessSince = distantPast;
     } else if (m_leaderlessSince == distantPast) {
         m_leaderlessSince = now;
@@ -476,8 +507,11 @@
     }
 }
 
-void GroupHome::yieldLease(std::uint64_t generation, TimePoint now)
+bool GroupHome::yieldLease(std::uint64_t generation, TimePoint now)
 {
+    if (storeEpochOf(m_lease.generation()) > storeEpochOf(generation)) {
+        return false;
+    }
     if (m_lease.generation() < generation) {
         m_lease.restart(generation, false, replicaIds());
         m_primary = MemberId();
@@ -486,6 +520,7 @@
     }
     m_lastTermReadAt = now;
     m_effects.readTerm();
+    return true;
 }
 
 } // namespace rattanbeam::decisions::session
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -1,6 +1,7 @@
 #include "rattanbeam/sessions/sessioninstance.h"
 
 #include "rattanbeam/decisions/session/lagmeter.h"
+#include "rattanbeam/decisions/session/storeepoch.h"
 #include "rattanbeam/kernel/logevent.h"
 #include "rattanbeam/kernel/metrics.h"
 #include "rattanbeam/sessions/internal/directory.h"
@@ -97,6 +98,7 @@
     bool start();
     void drain(std::function<void()> closeFront, const std::function<void()> &drained);
     void registerSelf();
+    void storeEpochChanged(std::uint64_t epoch, TimePoint seenAt);
     void scheduleTick();
     void measureLag();
     bool isLeavingOrOverloaded() const;
@@ -196,6 +198,7 @@
     text << "rattanbeam_forwarded_bytes " << m_implementation->entry.forwardedBytes() << '\n';
     text << "rattanbeam_accepted_bytes " << m_implementation->homes.acceptedBytes() << '\n';
     text << "rattanbeam_refused_for_memory_total " << m_implementation->homes.refusedForMemory() << '\n';
+    text << "rattanbeam_store_epoch " << m_implementation->directory.storeEpoch() << '\n';
     return text.str();
 }
 
@@ -221,6 +224,9 @@
         [this](const ServiceName &service, const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt) {
             homes.termSeen(service, record, revision, startedAt);
         });
+    directory.onStoreEpoch([this](std::uint64_t epoch, TimePoint seenAt) {
+        storeEpochChanged(epoch, seenAt);
+    });
     directory.start();
     registerSelf();
     scheduleTick();
@@ -306,6 +312,8 @@
     peer.membersDigest = pong.members_digest();
     peer.instancesDigest = pong.instances_digest();
     peer.termsDigest = pong.terms_digest();
+    peer.storeEpoch = pong.store_epoch();
+    peer.storeEpochSeenAt = EventLoop::now() - std::chrono::milliseconds(pong.store_epoch_age_ms());
     if (pong.follows_store()) {
         peer.confirmedAt = pingSentAt - std::chrono::milliseconds(pong.store_age_ms());
     }
@@ -354,7 +362,8 @@
             const bool isConflict = outcome == StoreOutcome::Conflict && current;
             registrationRevision = isConflict ? current->revision : outcome == StoreOutcome::Absent ? 0 : registrationRevision;
             if (isConflict && current->value == RecordValue(record)) {
-                return; // an earlier write without an answer has succeeded
+                directory.applyOwnRegistration(*current);
+                return; // an earlier write without an answer has succeeded, or the store's older copy holds it
             }
             loop.after(isConflict ? decisions::Duration(1ms) : registrationRetryDelay, [this] {
                 registerSelf();
@@ -362,6 +371,22 @@
         });
 }
 
+/// The store may have lost what this instance wrote: writes its registration again, and tells the homes.
+void SessionInstance::Implementation::storeEpochChanged(std::uint64_t epoch, TimePoint seenAt)
+{
+    homes.storeEpochChanged(epoch, seenAt);
+    const bool wasRegistered = storeEpochOf(registrationRevision) < epoch && std::exchange(registrationRevision, 0) != 0;
+    if (wasRegistered) {
+        // Not all instances in the same moment, in which the store has just come back.
+        const auto delay = std::chrono::milliseconds(decisions::stableHash(settings.instance.text() + std::to_string(epoch)) % 300);
+        loop.after(delay, [this] {
+            if (registrationRevision == 0) {
+                registerSelf();
+            }
+        });
+    }
+}
+
 void SessionInstance::Implementation::requestSnapshot()
 {
     if (directory.isReady()) {
