Settings can be given as defaults on the command line

The values that a platform may leave out (quotas, memory, descriptors) come from the command line of the deploy file, so that the template needs no sections: tools that only fill in values keep working with it. An empty value leaves the documented default.

--- a/daemon/src/main.cpp
+++ b/daemon/src/main.cpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <sstream>
 #include <string>
+#include <vector>
 
 namespace
 {
@@ -28,6 +29,8 @@
     std::string configFile;
     bool onlyCheck = false;
     bool showVersion = false;
+    /// Settings for keys that the file does not set.
+    std::vector<std::string> defaults;
 };
 
 /// Nothing when the command line is wrong; the reason is then printed.
@@ -36,8 +39,16 @@
     char *file = nullptr;
     int onlyCheck = 0;
     int showVersion = 0;
+    const char **defaults = nullptr;
     const poptOption table[] = {{"config", 'c', POPT_ARG_STRING, &file, 0, "settings of this instance", "FILE.ini"},
                                 {"check-config", '\0', POPT_ARG_NONE, &onlyCheck, 0, "check the settings and stop", nullptr},
+                                {"default",
+                                 '\0',
+                                 POPT_ARG_ARGV,
+                                 &defaults,
+                                 0,
+                                 "setting for a key that the file does not set (sessions interface)",
+                                 "SECTION.KEY=VALUE"},
                                 {"version", '\0', POPT_ARG_NONE, &showVersion, 0, "print the version and stop", nullptr},
                                 POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext("rattanbeamd", argc, argv, table, 0);
@@ -51,7 +62,11 @@
     }
     const char *fromEnvironment = std::getenv(settingsVariable);
     const std::string fallback = fromEnvironment == nullptr ? "" : fromEnvironment;
-    return Arguments{file == nullptr ? fallback : file, onlyCheck != 0, showVersion != 0};
+    Arguments arguments{file == nullptr ? fallback : file, onlyCheck != 0, showVersion != 0, {}};
+    for (const char **setting = defaults; setting != nullptr && *setting != nullptr; ++setting) {
+        arguments.defaults.emplace_back(*setting);
+    }
+    return arguments;
 }
 
 std::optional<std::string> readFile(const std::string &file)
@@ -110,7 +125,7 @@
 
 int runSessions(const Arguments &arguments, const std::string &text)
 {
-    const auto settings = rattanbeam::sessions::parseSessionSettings(text);
+    const auto settings = rattanbeam::sessions::parseSessionSettings(text, arguments.defaults);
     if (!isUsable(settings, arguments.configFile)) {
         return exitSettings;
     }
--- a/decisions/include/rattanbeam/decisions/inireader.h
+++ b/decisions/include/rattanbeam/decisions/inireader.h
@@ -6,6 +6,7 @@
 #include <boost/property_tree/ptree.hpp>
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -34,6 +35,9 @@
 
     explicit IniReader(const std::string &text);
 
+    /// Gives the key a value that it has if the text does not set it. An empty value is ignored. `setting` is `SECTION.KEY=VALUE`.
+    void addDefault(const std::string &setting);
+
     std::string requiredText(const std::string &section, const std::string &key);
     std::string text(const std::string &section, const std::string &key, const std::string &defaultValue);
     std::int64_t requiredInteger(const std::string &section, const std::string &key, Range range);
@@ -68,6 +72,7 @@
     parseInteger(const std::string &section, const std::string &key, const std::string &value, Range range, std::int64_t defaultValue);
 
     boost::property_tree::ptree m_tree;
+    std::map<std::pair<std::string, std::string>, std::string> m_defaults;
     std::set<std::pair<std::string, std::string>> m_queriedKeys;
     std::optional<ConfigError> m_error;
 };
--- a/decisions/src/inireader.cpp
+++ b/decisions/src/inireader.cpp
@@ -86,18 +86,31 @@
     }
 }
 
+void IniReader::addDefault(const std::string &setting)
+{
+    const auto equals = setting.find('=');
+    const auto dot = setting.find('.');
+    if (equals == std::string::npos || dot == std::string::npos || dot > equals) {
+        fail("", setting, "is not SECTION.KEY=VALUE");
+        return;
+    }
+    if (equals + 1 < setting.size()) {
+        m_defaults[{setting.substr(0, dot), setting.substr(dot + 1, equals - dot - 1)}] = setting.substr(equals + 1);
+    }
+}
+
 std::optional<std::string> IniReader::find(const std::string &section, const std::string &key)
 {
     m_queriedKeys.emplace(section, key);
     const auto foundSection = m_tree.find(section);
-    if (foundSection == m_tree.not_found()) {
-        return std::nullopt;
-    }
-    const auto foundKey = foundSection->second.find(key);
-    if (foundKey == foundSection->second.not_found()) {
-        return std::nullopt;
+    if (foundSection != m_tree.not_found()) {
+        const auto foundKey = foundSection->second.find(key);
+        if (foundKey != foundSection->second.not_found()) {
+            return foundKey->second.data();
+        }
     }
-    return foundKey->second.data();
+    const auto foundDefault = m_defaults.find({section, key});
+    return foundDefault == m_defaults.end() ? std::nullopt : std::optional(foundDefault->second);
 }
 
 std::string IniReader::requiredText(const std::string &section, const std::string &key)
@@ -225,6 +238,11 @@
             }
         }
     }
+    for (const auto &[name, value] : m_defaults) {
+        if (!m_queriedKeys.contains(name)) {
+            fail(name.first, name.second, "is not a known key");
+        }
+    }
     return m_error;
 }
 
--- a/sessions/include/rattanbeam/sessions/sessionsettings.h
+++ b/sessions/include/rattanbeam/sessions/sessionsettings.h
@@ -52,7 +52,8 @@
 };
 
 /// Parses and validates the INI text; the error names the section and the key.
-decisions::Result<SessionSettings> parseSessionSettings(const std::string &text);
+/// `defaults` holds values for keys that the text does not set, each as `SECTION.KEY=VALUE`.
+decisions::Result<SessionSettings> parseSessionSettings(const std::string &text, const std::vector<std::string> &defaults = {});
 
 /// Whether the INI text selects the sessions interface, by `kind = sessions` in its `interface` section.
 bool selectsSessionsInterface(const std::string &text);
--- a/sessions/src/sessionsettings.cpp
+++ b/sessions/src/sessionsettings.cpp
@@ -48,9 +48,9 @@
 }
 
 /// A number of the section `quotas`, from 0 to `maxValue`.
-double readQuotaNumber(IniReader &reader, const std::string &key, double maxValue)
+double readQuotaNumber(IniReader &reader, const std::string &key, double maxValue, const std::string &defaultValue = "0")
 {
-    const std::string text = reader.text("quotas", key, "0");
+    const std::string text = reader.text("quotas", key, defaultValue);
     double value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
     if (error != std::errc() || end != text.data() + text.size() || !(value >= 0) || value > maxValue) {
@@ -103,9 +103,12 @@
 
 } // namespace
 
-decisions::Result<SessionSettings> parseSessionSettings(const std::string &text)
+decisions::Result<SessionSettings> parseSessionSettings(const std::string &text, const std::vector<std::string> &defaults)
 {
     IniReader reader(text);
+    for (const std::string &setting : defaults) {
+        reader.addDefault(setting);
+    }
     SessionSettings settings;
     reader.choice("interface", "kind", {"sessions"}, "sessions");
     settings.instance = decisions::InstanceId(reader.requiredText("instance", "name"));
@@ -123,7 +126,11 @@
     settings.configurationBound = reader.duration("limits", "configuration-bound", {500, 600'000}, 3s);
     settings.processorMilli = readProcessorMilli(reader);
     readClientLimits(reader, settings);
-    settings.quotaBound.window = reader.duration("quotas", "window", {1000, 600'000}, 5s);
+    settings.quotaBound.window
+        = std::chrono::milliseconds(static_cast<std::int64_t>(readQuotaNumber(reader, "window-seconds", 600, "5") * 1000));
+    if (settings.quotaBound.window < 1s) {
+        reader.fail("quotas", "window-seconds", "must be at least 1");
+    }
     settings.quotaBound.tolerance = readQuotaNumber(reader, "tolerance", 10);
     settings.quotaBound.slack = readQuotaNumber(reader, "slack", 1e6);
     settings.isPaceEnabled = reader.choice("pace", "enabled", {"on", "off"}, "on") == "on";
--- a/sessions/test/sessioninstance_test.cpp
+++ b/sessions/test/sessioninstance_test.cpp
@@ -359,11 +359,17 @@
     CHECK_FALSE(parseSessionSettings(validSettings + "[pace]\nenabled = off\n")->isPaceEnabled);
     CHECK_FALSE(parseSessionSettings(validSettings + "[pace]\nenabled = maybe\n"));
     CHECK_FALSE(parseSessionSettings(validSettings + "[limits]\nprocessor-share = 1e\n"));
-    const auto quotas = parseSessionSettings(validSettings + "[quotas]\nwindow = 4s\ntolerance = 0.1\nslack = 20\n");
+    const auto quotas = parseSessionSettings(validSettings + "[quotas]\nwindow-seconds = 4\ntolerance = 0.1\nslack = 20\n");
     REQUIRE(quotas);
     CHECK(quotas->quotaBound == decisions::session::QuotaBound{4s, 0.1, 20});
     CHECK(parseSessionSettings(validSettings + "[quotas]\n")->quotaBound == decisions::session::QuotaBound{5s, 0, 0});
+    CHECK_FALSE(parseSessionSettings(validSettings + "[quotas]\nwindow-seconds = 0.5\n"));
     CHECK_FALSE(parseSessionSettings(validSettings + "[quotas]\nslack = -1\n"));
+    CHECK(parseSessionSettings(validSettings, {"quotas.slack=20", "quotas.tolerance="})->quotaBound
+          == decisions::session::QuotaBound{5s, 0, 20});
+    CHECK(parseSessionSettings(validSettings + "[quotas]\nslack = 7\n", {"quotas.slack=20"})->quotaBound.slack == 7);
+    CHECK_FALSE(parseSessionSettings(validSettings, {"quotas.slck=20"}));
+    CHECK_FALSE(parseSessionSettings(validSettings, {"slack"}));
     CHECK_FALSE(parseSessionSettings(validSettings + "[quotas]\ntolerance = much\n"));
     CHECK(parseSessionSettings(validSettings + "[limits]\nmemory = 160\ndescriptors = 4200\n")->clients.maxConnections == 2950);
     CHECK(parseSessionSettings(validSettings + "[limits]\nmemory = 160\n")->clientBytes == 60U << 20U);
