A read is not answered from an older log of a newer term

A replica may follow the new term before it has received the last commits of the former one, and a position of the newer term compares as higher, so that AFTER lets the read pass. The position in the answer shows it: a newer term with a lower number. Such an answer counts as lagging, and the read goes to another member.

--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -346,6 +346,7 @@
                              const MemberCommand &command,
                              const std::optional<ReplicationStatus> &status,
                              TimePoint now);
+    static bool isOlderLogOfNewerTerm(const Work &work, const Answer &answer);
     void statementAnswered(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now);
     void statementFailed(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now);
     void pinOrReleaseConnection(Member &member, MemberConnection &connection, const Work &work, const Answer &answer, TimePoint now);
--- a/decisions/src/session/grouphomeanswers.cpp
+++ b/decisions/src/session/grouphomeanswers.cpp
@@ -97,6 +97,15 @@
     }
 }
 
+/// Whether a replica answered a read from a log that ends before the required position, although its term is newer. Right after a change of
+/// primary a replica may follow the new term before it has received the last commits of the former one, and a position of the newer
+/// term compares as higher.
+bool GroupHome::isOlderLogOfNewerTerm(const Work &work, const Answer &answer)
+{
+    return work.generation == 0 && work.after && answer.position && answer.position->term > work.after->term
+           && answer.position->position < work.after->position;
+}
+
 void GroupHome::statementAnswered(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now)
 {
     const auto found = m_work.find(number);
@@ -109,6 +118,12 @@
         statementFailed(member, connection, number, answer, now);
         return;
     }
+    if (isOlderLogOfNewerTerm(found->second, answer)) {
+        Answer lagging = answer;
+        lagging.error = StatementError::Lagging;
+        statementFailed(member, connection, number, lagging, now);
+        return;
+    }
     const Work work = found->second;
     const TimePoint sentAt = connection.sentAt;
     paceAnswered(member, work.request.rank, now - sentAt, now);
--- a/decisions/test/session/grouphome_test.cpp
+++ b/decisions/test/session/grouphome_test.cpp
@@ -248,6 +248,30 @@
     CHECK(group.replyTo(request.number)->answer.signature == "signed-by-m1");
 }
 
+// Guards against a stale read right after a change of primary: the position (1, 9) counts as applied by a log that ends at (2, 3).
+TEST_CASE("A read is not answered from a log of a newer term that ends before the required position", "[grouphome]")
+{
+    FakeGroup group;
+    group.makeHealthy();
+    HomeRequest request = group.readRequest("r1", Consistency::ReadYourWrites);
+    request.lastCommitPosition = LogPosition{1, 1};
+    group.home.request(request, group.now);
+    REQUIRE_FALSE(group.pendingCommands.empty());
+    const FakeGroup::SentCommand next = group.pendingCommands.back();
+    REQUIRE(group.connectionMembers.at(next.connection) != MemberId("m1"));
+    REQUIRE(next.command.statement.after);
+    group.pendingCommands.pop_back();
+    --group.pendingCounts[next.connection];
+    Answer stale = Answer::success(SessionPhase::Idle);
+    stale.signature = "signed-by-a-replica";
+    stale.position = LogPosition{next.command.statement.after->term + 1, next.command.statement.after->position - 1};
+    group.home.answered(next.connection, stale, std::nullopt, group.now);
+    CHECK(group.replyTo(request.number) == nullptr);
+    group.answerAll();
+    REQUIRE(group.replyTo(request.number) != nullptr);
+    CHECK(group.replyTo(request.number)->answer.signature != stale.signature);
+}
+
 TEST_CASE("A write that gets no answer is never resent", "[grouphome]")
 {
     FakeGroup group;
