--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -3,6 +3,7 @@
 #include "rattanbeam/decisions/rankqueue.h"
 #include "rattanbeam/decisions/session/homemessages.h"
 #include "rattanbeam/decisions/session/memberconnections.h"
+#include "rattanbeam/decisions/session/memberpace.h"
 #include "rattanbeam/decisions/session/primarylease.h"
 #include "rattanbeam/decisions/session/watermark.h"
 
@@ -46,10 +47,24 @@
     std::uint32_t reservedConnections = 4;
     /// Attempts for one request, the first included.
     std::uint32_t maxAttempts = 4;
+    /// Number of replicas that have received a commit before it is acknowledged. Above 0, a change of primary waits until the candidate
+    /// certainly holds each acknowledged commit.
+    std::uint32_t synchronousReplicas = 0;
+    /// Whether members that have started, recovered or failed are given their slots step by step; see MemberPace.
+    bool isPaceEnabled = true;
 
     auto operator<=>(const GroupHomeLimits &) const = default;
 };
 
+/// Counts of a home's connections to members since its start.
+struct ConnectionCounters {
+    std::uint64_t opened = 0;
+    /// Closed while idle to make room for another workspace.
+    std::uint64_t closedForRoom = 0;
+    /// Refused because the member accepted no more.
+    std::uint64_t refusedAsOverloaded = 0;
+};
+
 /// The home of one service: its members' queues and connections, the watermark of its commits, the lease on its primary
 /// and the change of primary. Every request gets exactly one reply, and an error in it states correctly whether the
 /// statement may have run.
@@ -88,8 +103,13 @@
     void answered(ConnectionNumber connection, const Answer &answer, const std::optional<ReplicationStatus> &status, TimePoint now);
 
     /// The term record as a read of the store that began at `startedAt` returned it; none when there is no record. An event
-    /// of a watch has `startedAt` distantPast: it may be older than a promotion and is no evidence for the lease.
+    /// of a watch has `startedAt` distantPast: it may be older than a promotion and is no evidence for the lease. `revision` carries
+    /// the store's epoch (storeepoch.h), also if there is no record.
     void termSeen(const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt, TimePoint now);
+    /// The store has come back from an older copy, and begun `epoch`. What is known of the term stays in use; no change of primary
+    /// continues or begins before the term record has been read and written in the new epoch. `seenAt`: a time at which some instance
+    /// knew the epoch already; may be told again when an earlier one is known.
+    void storeEpochChanged(std::uint64_t epoch, TimePoint seenAt, TimePoint now);
     /// HomeEffects::writeTerm() did not write the record, or its outcome is unknown.
     void termWriteFailed(TermWriteFailure failure, TimePoint now);
     /// How many of the peers asked by HomeEffects::askPeers() reach the member, and how many do not.
@@ -97,8 +117,9 @@
     /// `home` has given up its lease on generations below `generation`.
     void leaseYielded(const std::string &home, std::uint64_t generation, TimePoint now);
     void promotionAnswered(const MemberId &member, PromotionResult result, TimePoint now);
-    /// Gives up the lease on generations below `generation`, as another home asked.
-    void yieldLease(std::uint64_t generation, TimePoint now);
+    /// Gives up the lease on generations below `generation`, as another home asked. Returns false, and does nothing, if the other home
+    /// has missed a change of the store's epoch, after which this home may hold a lease on the same primary.
+    bool yieldLease(std::uint64_t generation, TimePoint now);
 
     /// This process was suspended for `pause`, which does not count as silence of the members.
     void paused(Duration pause);
@@ -121,6 +142,12 @@
     }
     /// Number of connections to members, those being opened included.
     std::size_t connections() const;
+    const ConnectionCounters &connectionCounters() const
+    {
+        return m_connectionCounters;
+    }
+    /// Maximum number of statements in flight at each registered member.
+    std::map<MemberId, std::size_t> memberLimits() const;
 
 private:
     /// Whether a member can be reached, as the latest attempts have shown.
@@ -139,9 +166,15 @@
         RankQueue queue;
         MemberConnections connections;
         Health health = Health::Unknown;
+        /// Whether it was reached before, so that reaching it again is a recovery.
+        bool wasReached = false;
+        MemberPace pace;
+        TimePoint paceStartedAt = distantPast;
         TimePoint lastHeardAt = distantPast;
         /// When a command that is answered with a status was last sent; distantPast makes the home ask at once.
         TimePoint statusAskedAt = distantPast;
+        /// When the command that `status` answers was sent.
+        TimePoint statusSentAt = distantPast;
         bool isStatusPending = false;
         TimePoint nextConnectAt = distantPast;
         Duration backoff{};
@@ -159,12 +192,27 @@
         /// Number of this home's connections when the member refused another one; limits them until `cappedUntil`.
         std::size_t connectionCap = 0;
         TimePoint cappedUntil = distantPast;
+        /// Connections that the member refused in a row as overloaded, without those opened at the same time; 0 while clients are not
+        /// identified.
+        std::uint32_t overloads = 0;
+        TimePoint lastOverloadAt = distantPast;
 
         double recentFailuresAt(TimePoint now) const
         {
             return recentFailures == 0 ? 0 : recentFailures * std::exp2(-std::chrono::duration<double>(now - lastFailedAt).count());
         }
     };
+    /// How many connections to a member each workspace may hold for transactions, and how many it holds.
+    struct ConnectionShares {
+        std::size_t share = 0;
+        std::map<WorkspaceName, std::size_t> held;
+
+        bool mayHoldAnother(const WorkspaceName &workspace) const
+        {
+            const auto found = held.find(workspace);
+            return found == held.end() || found->second < share;
+        }
+    };
     /// A request on its way to a member.
     struct Work {
         HomeRequest request;
@@ -173,8 +221,6 @@
         std::uint32_t attempts = 0;
         /// Whether the statement itself was sent; the commands that prepare the connection do not count.
         bool isSent = false;
-        /// Whether it was given to a connection.
-        bool isAssigned = false;
         std::string preparedName;
         /// Position that a replica must have applied before it runs the read.
         std::optional<LogPosition> after;
@@ -188,6 +234,7 @@
         MemberId member;
         ConnectionNumber connection = 0;
         std::uint64_t generation = 0;
+        WorkspaceName workspace;
         /// Whether a statement of it is under way.
         bool isBusy = false;
         TimePoint lastUsed{};
@@ -244,6 +291,14 @@
         /// Last position that each member has received, as reported while fencing; the highest of its term for a member that
         /// already leads.
         std::map<MemberId, LogPosition> reportedPositions;
+        /// With synchronous replicas only: the members other than `oldPrimary` that may hold acknowledged commits, and the positions that
+        /// members have reported in answer to commands of the current round of fencing.
+        std::set<MemberId> possibleHolders;
+        std::map<MemberId, LogPosition> heardPositions;
+        /// When the current round of fencing began.
+        TimePoint fencingSince = distantPast;
+        /// Whether no other home could still acknowledge commits when the current round of fencing began.
+        bool isFencedAfterLeases = false;
         /// Planned change only: where the demoted primary's log ends.
         std::optional<LogPosition> finalPosition;
         TimePoint lastOrderAt = distantPast;
@@ -262,7 +317,10 @@
     void enqueue(WorkNumber number, const MemberId &member, bool isPinned, TimePoint now);
     void enqueueAtPrimary(WorkNumber number, TimePoint now);
     void startQueuedWork(Member &member, TimePoint now);
+    bool advanceQueue(Member &member, std::size_t freeConnections, const ConnectionTest &isConnectionFree, TimePoint now);
+    void startWorkspaceWork(Member &member, TimePoint now);
     void startWork(Member &member, WorkNumber number, TimePoint now);
+    void sendWork(Member &member, MemberConnection &connection, WorkNumber number, TimePoint now);
     void retry(WorkNumber number, StatementError error, const std::string &reason, TimePoint now);
     void finish(WorkNumber number, const HomeReply &reply, TimePoint now);
     /// `retryAt`: when the client may expect to be served; in the past if that is not known.
@@ -273,7 +331,13 @@
     // Members and their connections
     Member *memberOf(ConnectionNumber connection);
     MemberConnection *connectionOf(ConnectionNumber connection, Member **member);
-    void openConnection(Member &member, TimePoint now);
+    MemberConnection &openConnection(Member &member, const WorkspaceName &workspace, TimePoint now);
+    MemberConnection *openForWork(Member &member, const WorkspaceName &workspace, TimePoint now);
+    bool servesWorkspaces(const Member &member, TimePoint now) const;
+    bool mayOpenForWork(const Member &member, TimePoint now) const;
+    double openingCost(const Member &member, const WorkspaceName &workspace, TimePoint now) const;
+    ConnectionShares connectionShares(const Member &member, TimePoint now) const;
+    void reportClosedForRoom(const Member &member, TimePoint now);
     std::size_t connectionLimit(const Member &member, TimePoint now) const;
     void sendNext(Member &member, MemberConnection &connection, TimePoint now);
     void recordPreparation(MemberConnection &connection, const MemberCommand &command);
@@ -282,21 +346,29 @@
                              const MemberCommand &command,
                              const std::optional<ReplicationStatus> &status,
                              TimePoint now);
+    static bool isOlderLogOfNewerTerm(const Work &work, const Answer &answer);
     void statementAnswered(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now);
     void statementFailed(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now);
     void pinOrReleaseConnection(Member &member, MemberConnection &connection, const Work &work, const Answer &answer, TimePoint now);
     void statusAnswered(Member &member, const ReplicationStatus &status, const PrimaryLease::Confirmation &confirmation, TimePoint now);
-    void memberReached(Member &member);
+    void memberReached(Member &member, TimePoint now);
+    void startPace(Member &member, std::string_view cause, TimePoint now);
+    void paceAnswered(Member &member, Rank rank, Duration time, TimePoint now);
+    void paceFailed(Member &member, TimePoint now);
+    void applyPace(Member &member, MemberPace::Change change, std::string_view cause, TimePoint now);
+    static bool hasRoom(const Member &member);
     void setMemberSilent(Member &member, TimePoint now);
     void dispatchQueuedWorkAgain(Member &member, TimePoint now);
     void dropConnection(Member &member, ConnectionNumber number, bool isClosed, StatementError reason, TimePoint now);
     void workConnectionLost(WorkNumber number, StatementError reason, TimePoint now);
     void disconnectMember(Member &member, TimePoint now);
     void askStatus(Member &member, TimePoint now);
+    /// Resets connections at rest whose values are large.
+    void resetLargeIdleConnections(Member &member, TimePoint now);
     void maintainConnections(Member &member, TimePoint now);
     void removeMember(const MemberId &id, TimePoint now);
     static bool isRetryable(const Work &work, StatementError error);
-    static void recordFailure(Member &member, TimePoint now);
+    void recordFailure(Member &member, TimePoint now);
     void rollBack(Member &member, ConnectionNumber number, TimePoint now);
     void endOverdueWork(TimePoint now);
     void retryStalledReads(TimePoint now);
@@ -309,6 +381,8 @@
     void releaseConfirmedAnswers(TimePoint now);
     void refuseUnconfirmableAnswers(TimePoint now);
     void ensureTermExists(TimePoint now);
+    std::map<MemberId, Member>::const_iterator registeredPrimary() const;
+    bool hasLostUnrecordedPrimary(TimePoint now) const;
     void ensureListedInTerm(TimePoint now);
     void adoptTerm(const TermRecord &record, TimePoint now);
     void dropSupersededWork(TimePoint now);
@@ -325,10 +399,27 @@
     void fenceWitnesses(TimePoint now);
     bool haveLeasesEnded(TimePoint now) const;
     std::vector<MemberId> reachableReplicas() const;
-    std::vector<MemberId> updatedWitnesses(const TermRecord &record) const;
+    std::vector<MemberId> updatedWitnesses(const TermRecord &record);
+    bool mayForgetWitness(const MemberId &witness);
     void setLeaseWitnesses();
     void sampleWatermark(const LogPosition &position, TimePoint sentAt, TimePoint now);
     std::set<MemberId> replicaIds() const;
+
+    // Changes of the store's epoch
+    void ownGenerationWritten(const TermRecord &record, std::uint64_t revision, TimePoint now);
+    bool isTermSettled() const;
+    bool recordStoredTerm(const TermRecord &record, std::uint64_t revision, TimePoint now);
+    bool isSettledFirstHome(TimePoint now) const;
+    void settleTerm(TimePoint now);
+    std::optional<TermRecord> confirmedTerm(TimePoint now) const;
+    MemberId confirmedLeader(TimePoint now) const;
+    std::uint64_t nextGeneration() const;
+    void addRestoredHolders(TermRecord &record) const;
+    bool mayHaveUnlistedHolders(TimePoint now) const;
+    void addPossibleWitnesses(TimePoint now);
+    bool isSameReign(const TermRecord &record) const;
+    void continueReign(const TermRecord &record);
+
     void suspectPrimary(std::string_view cause, TimePoint now);
     void askPeersEarly(Member &member, TimePoint now);
     void evaluatePeerAnswers(std::size_t reachable, std::size_t unreachable, TimePoint now);
@@ -337,7 +428,13 @@
     void beginTermWrite(TimePoint now);
     void beginFencing(TimePoint now);
     void addPendingFences();
-    void statusAnsweredWhileFencing(const Member &member, const ReplicationStatus &status, TimePoint now);
+    void addUnheardFences();
+    void awaitAcknowledgedCommits(bool hasCandidate, TimePoint now);
+    void statusAnsweredWhileFencing(const Member &member, const ReplicationStatus &status, TimePoint sentAt, TimePoint now);
+    void oldPrimaryAnswered(const Member &member, const ReplicationStatus &status, TimePoint now);
+    void notePossibleHolders(const TermRecord &record);
+    bool coversAcknowledgedCommits(const LogPosition &position) const;
+    Duration silenceTimeout(const Member &member) const;
     void chooseCandidate(TimePoint now);
     void orderPromotionIfNewest(TimePoint now);
     void completeChange(TimePoint now);
@@ -360,11 +457,19 @@
     std::map<ConnectionNumber, MemberId> m_connectionOwners;
     ConnectionNumber m_lastConnectionNumber = 0;
     WorkNumber m_lastWorkNumber = 0;
+    /// The latest deadline of requests of workspaces.
+    TimePoint m_workspacesUntil = distantPast;
+    ConnectionCounters m_connectionCounters;
+    TimePoint m_closedForRoomReportedAt = distantPast;
+    std::uint64_t m_closedForRoomReported = 0;
     std::map<WorkNumber, Work> m_work;
     /// Work that waits for a usable primary, or for a replica that is fresh enough.
     std::deque<WorkNumber> m_held;
     std::map<TransactionKey, Transaction> m_transactions;
     PreparedNames m_preparedNames;
+    UsualAnswerTimes m_usualAnswerTimes;
+    /// Whether members have been known before: those that appear later have started.
+    bool m_hasKnownMembers = false;
     Watermark m_watermark;
     /// Highest term in any member's status, fences included.
     Term m_highestTerm = 0;
@@ -374,6 +479,19 @@
     std::uint64_t m_termRevision = 0;
     /// Whether the store has been read, with or without a record.
     bool m_isTermKnown = false;
+    /// The store's latest known epoch, and the earliest time known at which an instance knew of it.
+    std::uint64_t m_storeEpoch = 0;
+    TimePoint m_storeEpochSeenAt = distantPast;
+    /// Whether the store has been read in this epoch, with or without a record.
+    bool m_isTermReadInEpoch = false;
+    /// Whether the record's generation was begun in this epoch. Until then the record may be missing or older than a later promotion.
+    bool m_isTermOfEpoch = false;
+    /// The record of an earlier epoch that the store shows in this one.
+    std::optional<TermRecord> m_restoredTerm;
+    /// When the present revision of that record was first seen.
+    TimePoint m_restoredSeenAt = distantPast;
+    /// The primary that the latest record with a primary named.
+    MemberId m_lastNamedPrimary;
     bool m_isWritingTerm = false;
     TimePoint m_lastTermWriteAt = distantPast;
     TimePoint m_lastTermReadAt = distantPast;
@@ -397,6 +515,10 @@
     /// Witnesses that this home has taken out of the term record, or tried to, with the record's revision before that. They are no evidence
     /// unless a later revision names them.
     std::map<MemberId, std::uint64_t> m_droppedWitnesses;
+    /// With synchronous replicas only: witnesses that have left the group, and the position that the primary had reached by then.
+    std::map<MemberId, LogPosition> m_departedWitnesses;
+    /// Since when the service has had neither a term record nor a member registered as primary.
+    TimePoint m_withoutPrimarySince = distantPast;
     /// Since when the term record has named no primary; distantPast if it names one.
     TimePoint m_leaderlessSince = distantPast;
     /// Last time that no reachable replica was fenced.
--- a/decisions/src/session/grouphomeanswers.cpp
+++ b/decisions/src/session/grouphomeanswers.cpp
@@ -33,7 +33,7 @@
     connection->commands.pop_front();
     connection->isAwaitingAnswer = false;
     connection->isSilent = false;
-    memberReached(*member);
+    memberReached(*member, now);
     if (answer.position) {
         member->applied = std::max(member->applied, *answer.position);
         if (member->record.id == m_primary) {
@@ -97,6 +97,15 @@
     }
 }
 
+/// Whether a replica answered a read from a log that ends before the required position, although its term is newer. Right after a change of
+/// primary a replica may follow the new term before it has received the last commits of the former one, and a position of the newer
+/// term compares as higher.
+bool GroupHome::isOlderLogOfNewerTerm(const Work &work, const Answer &answer)
+{
+    return work.generation == 0 && work.after && answer.position && answer.position->term > work.after->term
+           && answer.position->position < work.after->position;
+}
+
 void GroupHome::statementAnswered(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now)
 {
     const auto found = m_work.find(number);
@@ -109,8 +118,15 @@
         statementFailed(member, connection, number, answer, now);
         return;
     }
+    if (isOlderLogOfNewerTerm(found->second, answer)) {
+        Answer lagging = answer;
+        lagging.error = StatementError::Lagging;
+        statementFailed(member, connection, number, lagging, now);
+        return;
+    }
     const Work work = found->second;
     const TimePoint sentAt = connection.sentAt;
+    paceAnswered(member, work.request.rank, now - sentAt, now);
     pinOrReleaseConnection(member, connection, work, answer, now);
     HomeReply reply;
     reply.answer = answer;
@@ -144,6 +160,7 @@
     transaction.member = member.record.id;
     transaction.connection = connection.number;
     transaction.generation = work.generation;
+    transaction.workspace = connection.workspace;
     transaction.isBusy = true;
     transaction.lastUsed = now;
 }
@@ -227,6 +244,7 @@
 {
     member.recentFailures = member.recentFailuresAt(now) + 1;
     member.lastFailedAt = now;
+    paceFailed(member, now);
 }
 
 void GroupHome::rollBack(Member &member, ConnectionNumber number, TimePoint now)
@@ -276,12 +294,13 @@
                            {"lag_ms", std::to_string(status.lagMs)}}});
     }
     member.status = status;
+    member.statusSentAt = confirmation.sentAt;
     m_highestLedTerm = std::max({m_highestLedTerm, status.term, status.received.term});
     m_highestTerm = std::max({m_highestTerm, status.term, status.received.term, status.fenceTerm});
     const MemberId id = member.record.id;
     updateFencedWitnesses(id, status, now);
     if (m_change.stage == ChangeStage::Fencing) {
-        statusAnsweredWhileFencing(member, status, now);
+        statusAnsweredWhileFencing(member, status, confirmation.sentAt, now);
         return;
     }
     if (m_change.stage == ChangeStage::AwaitingLead && id == m_change.candidate) {
--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -1,5 +1,7 @@
 #include "rattanbeam/decisions/session/grouphome.h"
 
+#include "rattanbeam/decisions/session/storeepoch.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -15,6 +17,9 @@
 constexpr Duration minTermWriteInterval = 300ms; // between attempts to write the first term record, or to list this home in it
 constexpr Duration activityGap = 1000ms; // without requests for this long, a home does not count as in use
 constexpr Duration firstHomeSettleTime = 3000ms; // in which instances that start together get to know each other
+// Without a registered primary for this long, a service that has no term record gets one. Members that start together with the instances
+// register within seconds.
+constexpr Duration primaryRegistrationTimeout = 6000ms;
 constexpr Duration witnessCheckInterval = 1000ms; // between checks whether the term record names the right witnesses
 constexpr Duration witnessReadInterval = 4000ms; // between reads of the term record that keep the witnesses' word valid
 constexpr Duration redirectTime = 1000ms; // after the first failed write of the term record; doubles with each further one
@@ -129,25 +134,49 @@
     if (!m_isFirstHome || m_firstHomeSince == distantPast) {
         m_firstHomeSince = now;
     }
-    const bool isSettledFirstHome = m_isFirstHome && now - m_firstHomeSince > firstHomeSettleTime;
-    if (!m_term && (isSettledFirstHome || isInUse(now))) {
+    if (m_withoutPrimarySince == distantPast || m_term || registeredPrimary() != m_members.end()) {
+        m_withoutPrimarySince = now;
+    }
+    if (!m_term && (isSettledFirstHome(now) || isInUse(now))) {
         ensureListedInTerm(now);
     }
 }
 
+/// The first member that is registered as primary, or the end.
+std::map<MemberId, GroupHome::Member>::const_iterator GroupHome::registeredPrimary() const
+{
+    return std::find_if(m_members.begin(), m_members.end(), [](const auto &entry) {
+        return entry.second.isRegistered && entry.second.record.isRegisteredAsPrimary;
+    });
+}
+
+/// Whether a service without a term record has lost its primary: none has been registered for a while, but a replica is reachable.
+bool GroupHome::hasLostUnrecordedPrimary(TimePoint now) const
+{
+    return m_withoutPrimarySince != distantPast && now - m_withoutPrimarySince > primaryRegistrationTimeout && !reachableReplicas().empty();
+}
+
+bool GroupHome::isSettledFirstHome(TimePoint now) const
+{
+    return m_isFirstHome && now - m_firstHomeSince > firstHomeSettleTime;
+}
+
 /// Writes this home into the term record, so that a change of primary waits for its lease.
 void GroupHome::ensureListedInTerm(TimePoint now)
 {
     if (m_isWritingTerm || m_change.stage != ChangeStage::None || now - m_lastTermWriteAt < minTermWriteInterval) {
         return;
     }
-    if (!m_isTermKnown) {
+    if (!m_isTermReadInEpoch) {
         if (now - m_lastTermReadAt > minTermReadInterval) {
             m_lastTermReadAt = now;
             m_effects.readTerm();
         }
         return;
     }
+    if (!isTermSettled()) {
+        return; // settleTerm() writes the record
+    }
     TermRecord record;
     if (m_term) {
         if (m_term->primary.isEmpty() || (m_lease.isListed() && now - m_witnessesCheckedAt < witnessCheckInterval)) {
@@ -163,15 +192,17 @@
             return instanceNameOf(home) == instanceNameOf(m_self) && home != m_self;
         });
     } else {
-        const auto first = std::find_if(m_members.begin(), m_members.end(), [](const auto &entry) {
-            return entry.second.isRegistered && entry.second.record.isRegisteredAsPrimary;
-        });
-        if (first == m_members.end()) {
+        const auto first = registeredPrimary();
+        if (first == m_members.end() && !hasLostUnrecordedPrimary(now)) {
             return;
         }
         record.service = m_service;
         record.generation = 1;
-        record.primary = first->first;
+        if (first != m_members.end()) {
+            record.primary = first->first;
+        } else {
+            record.term = m_highestLedTerm; // a record without a primary begins a change of primary
+        }
     }
     record.term = std::max(record.term, latestKnownTerm(record.primary));
     if (std::find(record.homes.begin(), record.homes.end(), m_self) == record.homes.end()) {
@@ -208,14 +239,17 @@
 
 /// The witnesses that the record should name: those that it names, and the replicas that are reachable now. If no other home is listed, so
 /// that none relies on them, those that have left the group are left out.
-std::vector<MemberId> GroupHome::updatedWitnesses(const TermRecord &record) const
+std::vector<MemberId> GroupHome::updatedWitnesses(const TermRecord &record)
 {
     const bool isOnlyHolder = std::all_of(record.homes.begin(), record.homes.end(), [&](const std::string &home) {
         return instanceNameOf(home) == instanceNameOf(m_self);
     });
     std::vector<MemberId> witnesses = record.witnesses;
+    std::erase_if(m_departedWitnesses, [&](const auto &departed) {
+        return m_members.contains(departed.first);
+    });
     std::erase_if(witnesses, [&](const MemberId &witness) {
-        return isOnlyHolder && !m_members.contains(witness);
+        return isOnlyHolder && !m_members.contains(witness) && mayForgetWitness(witness);
     });
     for (const MemberId &replica : reachableReplicas()) {
         if (std::find(witnesses.begin(), witnesses.end(), replica) == witnesses.end()) {
@@ -225,6 +259,25 @@
     return witnesses;
 }
 
+/// Whether a change of primary need not wait for a witness that has left the group. With synchronous replicas, it may be the only one that
+/// holds an acknowledged commit until enough of the remaining replicas have received what the primary had when it left.
+bool GroupHome::mayForgetWitness(const MemberId &witness)
+{
+    if (m_limits.synchronousReplicas == 0) {
+        return true;
+    }
+    const auto primary = m_members.find(m_primary);
+    if (primary == m_members.end() || primary->second.applied == LogPosition{}) {
+        return false;
+    }
+    const LogPosition position = m_departedWitnesses.try_emplace(witness, primary->second.applied).first->second;
+    const std::vector<MemberId> replicas = reachableReplicas();
+    const auto holders = std::count_if(replicas.begin(), replicas.end(), [&](const MemberId &replica) {
+        return m_members.at(replica).status->received >= position;
+    });
+    return static_cast<std::size_t>(holders) >= m_limits.synchronousReplicas;
+}
+
 void GroupHome::setLeaseWitnesses()
 {
     std::vector<MemberId> witnesses = m_term->witnesses;
@@ -239,7 +292,13 @@
 
 void GroupHome::termSeen(const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt, TimePoint now)
 {
+    storeEpochChanged(storeEpochOf(revision), now, now);
+    const bool isOfEarlierEpoch = storeEpochOf(revision) < m_storeEpoch;
+    if (isOfEarlierEpoch && (m_term || !record)) {
+        return;
+    }
     m_isTermKnown = true;
+    m_isTermReadInEpoch = m_isTermReadInEpoch || !isOfEarlierEpoch;
     if (!record) {
         releaseHeld(now);
         return;
@@ -247,7 +306,13 @@
     if (revision < m_termRevision) {
         return;
     }
-    m_termRevision = revision;
+    if (!recordStoredTerm(*record, revision, now)) {
+        startedAt = distantPast; // the record may be older than a promotion, so that reading it is no evidence
+        if (m_term && record->generation <= m_term->generation) {
+            releaseHeld(now);
+            return; // this home knows a later state
+        }
+    }
     m_failedTermWrites = startedAt == distantPast ? m_failedTermWrites : 0; // the store has answered a read
     const bool isListed = std::find(record->homes.begin(), record->homes.end(), m_self) != record->homes.end();
     if (isListed) {
@@ -264,7 +329,9 @@
     if (isPrimaryNamed && isChangeUnwritten && !record->primary.isEmpty()) {
         abandonChange("another-home-named-the-primary", now);
     }
-    if (isNewer || (isPrimaryNamed && m_change.stage == ChangeStage::None)) {
+    if (isNewer && isSameReign(*record)) {
+        continueReign(*record);
+    } else if (isNewer || (isPrimaryNamed && m_change.stage == ChangeStage::None)) {
         adoptTerm(*record, now);
         m_lease.restart(record->generation, isListed, replicaIds());
         refuseUnconfirmableAnswers(now);
@@ -275,8 +342,8 @@
     setLeaseWitnesses();
     m_lease.termRecordRead(record->generation, isListed, startedAt);
     // A write of this home that was given up on took effect after all: continues its change of primary.
-    const bool isOwnLateWrite = m_change.stage == ChangeStage::None && isNewer && record->primary.isEmpty() && !record->homes.empty()
-                                && record->homes.front() == m_self;
+    const bool isOwnLateWrite = m_change.stage == ChangeStage::None && isNewer && isTermSettled() && record->primary.isEmpty()
+                                && !record->homes.empty() && record->homes.front() == m_self;
     if (isOwnLateWrite) {
         m_change = {};
         m_change.startedAt = now;
@@ -285,9 +352,7 @@
         m_change.leaseHolders.insert(std::next(record->homes.begin()), record->homes.end());
     }
     if (isOwnChange || isOwnLateWrite) {
-        m_change.oldPrimaryTerm = std::max<Term>(m_change.oldPrimaryTerm, record->term);
-        m_change.fencingToken = revision;
-        beginFencing(now);
+        ownGenerationWritten(*record, revision, now);
     } else if (m_change.stage != ChangeStage::None && isNewer) {
         abandonChange("another-home-changes-the-primary", now);
     }
@@ -298,6 +363,15 @@
     releaseHeld(now);
 }
 
+/// The store holds the generation that this home's change of primary began.
+void GroupHome::ownGenerationWritten(const TermRecord &record, std::uint64_t revision, TimePoint now)
+{
+    m_change.oldPrimaryTerm = std::max<Term>(m_change.oldPrimaryTerm, record.term);
+    m_change.fencingToken = revision;
+    addPossibleWitnesses(now);
+    beginFencing(now);
+}
+
 void GroupHome::adoptTerm(const TermRecord &record, TimePoint now)
 {
     m_effects.report({"term-adopted",
@@ -309,6 +383,7 @@
                        {"homes", std::to_string(record.homes.size())}}});
     if (!m_term || m_term->generation != record.generation) {
         m_droppedWitnesses.clear();
+        m_departedWitnesses.clear();
     }
     if (!m_term) {
         m_redirectUntil = distantPast; // the store has the first record, which this home could not write
@@ -316,6 +391,7 @@
     m_term = record;
     m_primary = record.primary;
     if (!m_primary.isEmpty()) {
+        m_lastNamedPrimary = m_primary;
         m_leaderlessSince = distantPast;
     } else if (m_leaderlessSince == distantPast) {
         m_leaderlessSince = now;
@@ -431,8 +507,11 @@
     }
 }
 
-void GroupHome::yieldLease(std::uint64_t generation, TimePoint now)
+bool GroupHome::yieldLease(std::uint64_t generation, TimePoint now)
 {
+    if (storeEpochOf(m_lease.generation()) > storeEpochOf(generation)) {
+        return false;
+    }
     if (m_lease.generation() < generation) {
         m_lease.restart(generation, false, replicaIds());
         m_primary = MemberId();
@@ -441,6 +520,7 @@
     }
     m_lastTermReadAt = now;
     m_effects.readTerm();
+    return true;
 }
 
 } // namespace rattanbeam::decisions::session
--- a/decisions/src/session/memberconnections.cpp
+++ b/decisions/src/session/memberconnections.cpp
@@ -44,19 +44,28 @@
     return "unknown";
 }
 
-const std::string &PreparedNames::nameOf(const std::string &definition)
+std::string PreparedNames::nameOf(const std::string &definition)
 {
     const auto found = m_names.find(definition);
     if (found != m_names.end()) {
         return found->second;
     }
-    return m_names.emplace(definition, "p" + std::to_string(m_names.size() + 1)).first->second;
+    while (!m_names.empty() && (m_names.size() >= maxNames || m_bytes + definition.size() > maxBytes)) {
+        m_bytes -= m_order.front()->first.size();
+        m_names.erase(m_order.front());
+        m_order.pop_front();
+    }
+    const auto added = m_names.emplace(definition, "p" + std::to_string(++m_lastName)).first;
+    m_order.push_back(added);
+    m_bytes += definition.size();
+    return added->second;
 }
 
-MemberConnection &MemberConnections::add(ConnectionNumber number, TimePoint now)
+MemberConnection &MemberConnections::add(ConnectionNumber number, const WorkspaceName &workspace, TimePoint now)
 {
     MemberConnection &connection = m_connections[number];
     connection.number = number;
+    connection.workspace = workspace;
     connection.connectStartedAt = now;
     return connection;
 }
@@ -67,12 +76,12 @@
     return found == m_connections.end() ? nullptr : &found->second;
 }
 
-MemberConnection *MemberConnections::bestIdle(const SessionValues &values, const std::string &preparedName)
+MemberConnection *MemberConnections::bestIdle(const WorkspaceName &workspace, const SessionValues &values, const std::string &preparedName)
 {
     MemberConnection *best = nullptr;
     std::size_t minCommandCount = 0;
     for (auto &[number, connection] : m_connections) {
-        if (!connection.isIdle()) {
+        if (!connection.isIdle() || connection.workspace != workspace) {
             continue;
         }
         const std::size_t commandCount = preparationCommands(connection, values, preparedName, preparedName).size();
@@ -84,6 +93,31 @@
     return best;
 }
 
+const MemberConnection *MemberConnections::leastRecentlyUsedIdle() const
+{
+    const MemberConnection *oldest = nullptr;
+    for (const auto &[number, connection] : m_connections) {
+        if (connection.isIdle() && (oldest == nullptr || connection.usedAt < oldest->usedAt)) {
+            oldest = &connection;
+        }
+    }
+    return oldest;
+}
+
+bool MemberConnections::hasIdle(const WorkspaceName &workspace) const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(), [&](const auto &entry) {
+        return entry.second.isIdle() && entry.second.workspace == workspace;
+    });
+}
+
+bool MemberConnections::hasWorkspaces() const
+{
+    return std::any_of(m_connections.begin(), m_connections.end(), [](const auto &entry) {
+        return !entry.second.workspace.isEmpty();
+    });
+}
+
 std::size_t MemberConnections::idleCount() const
 {
     return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &entry) {
@@ -111,7 +145,10 @@
                                                const std::string &definition)
 {
     std::vector<MemberCommand> commands;
-    const bool isReset = needsReset(connection, values);
+    const bool isNewName = !preparedName.empty() && !connection.preparedNames.contains(preparedName);
+    // A reset would end an open transaction.
+    const bool isFull = isNewName && !connection.pinnedBy && connection.preparedNames.size() >= maxPreparedPerConnection;
+    const bool isReset = needsReset(connection, values) || isFull;
     if (isReset) {
         MemberCommand reset;
         reset.kind = CommandKind::Reset;
@@ -123,7 +160,7 @@
             commands.push_back(statementCommand(StatementKind::SetValue, name, value));
         }
     }
-    if (!preparedName.empty() && (isReset || !connection.preparedNames.contains(preparedName))) {
+    if (!preparedName.empty() && (isReset || isNewName)) {
         commands.push_back(statementCommand(StatementKind::Prepare, preparedName, definition));
     }
     return commands;
--- a/decisions/test/session/fakegroup.h
+++ b/decisions/test/session/fakegroup.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanbeam/decisions/session/grouphome.h"
+#include "rattanbeam/decisions/session/storeepoch.h"
 
 #include <algorithm>
 #include <map>
@@ -28,17 +29,19 @@
         HomeReply reply;
     };
 
-    FakeGroup() : home(ServiceName("orders"), "a1/1", GroupHomeLimits(), *this)
+    explicit FakeGroup(const std::vector<MemberRecord> &members = {member("m1", true), member("m2", false), member("m3", false)})
+        : home(ServiceName("orders"), "a1/1", GroupHomeLimits(), *this)
     {
-        home.membersChanged({member("m1", true), member("m2", false), member("m3", false)}, now);
+        home.membersChanged(members, now);
     }
 
     static MemberRecord member(const std::string &id, bool isRegisteredAsPrimary)
     {
         return {MemberId(id), ServiceName("orders"), id + ":1", FailureDomain("a"), 2, false, isRegisteredAsPrimary, 1};
     }
-    void openConnection(ConnectionNumber connection, const MemberRecord &record, const WorkspaceName &) override
+    void openConnection(ConnectionNumber connection, const MemberRecord &record, const WorkspaceName &workspace) override
     {
+        connectionWorkspaces[connection] = workspace;
         connectionMembers[connection] = record.id;
         openingConnections.push_back(connection);
     }
@@ -159,7 +162,23 @@
     {
         const auto [record, expectedRevision] = termWrites.back();
         storedTerm = record;
-        home.termSeen(record, ++termRevision, now, now);
+        completedTermWrites = termWrites.size();
+        ++termRevision;
+        home.termSeen(record, storeRevision(), now, now);
+    }
+    /// The revision of the term record, as the home is told it.
+    std::uint64_t storeRevision() const
+    {
+        return firstOfStoreEpoch(epoch) + termRevision;
+    }
+    /// The store comes back from a copy with this record, or with none. The home learns of it and reads the record.
+    void restoreStore(const std::optional<TermRecord> &copy, std::uint64_t copiedRevision)
+    {
+        ++epoch;
+        storedTerm = copy;
+        termRevision = copiedRevision;
+        home.storeEpochChanged(epoch, now, now);
+        home.termSeen(copy, storeRevision(), now, now);
     }
     /// Brings the group to a healthy state, in which its home is listed in the term record and has evidence of the term.
     void makeHealthy()
@@ -221,6 +240,7 @@
 
     TimePoint now{1000s};
     std::map<ConnectionNumber, MemberId> connectionMembers;
+    std::map<ConnectionNumber, WorkspaceName> connectionWorkspaces;
     std::map<ConnectionNumber, int> pendingCounts;
     int maxPendingCount = 0;
     std::vector<ConnectionNumber> openingConnections;
@@ -229,8 +249,10 @@
     std::vector<SentCommand> sentCommands;
     std::vector<SentReply> replies;
     std::vector<std::pair<TermRecord, std::uint64_t>> termWrites;
+    std::size_t completedTermWrites = 0;
     std::optional<TermRecord> storedTerm;
     std::uint64_t termRevision = 7;
+    std::uint64_t epoch = 0;
     std::vector<std::pair<MemberId, std::uint64_t>> promotionOrders;
     std::vector<std::string> yieldRequests;
     std::vector<std::string> events;
--- a/decisions/test/session/groupschedule.h
+++ b/decisions/test/session/groupschedule.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanbeam/decisions/session/grouphome.h"
+#include "rattanbeam/decisions/session/storeepoch.h"
 
 #include <algorithm>
 #include <array>
@@ -21,17 +22,26 @@
 
 /// Simulates two homes of a group of three members, with a store and a promotion call, under a random schedule of faults: members
 /// crash and restart, links from homes to members and the store are cut, homes pause, and answers are delayed. Checks the replies
-/// to clients against what the members did.
+/// to clients against what the members did. With `hasEpochs`, the store also comes back from older copies, and homes restart.
 class GroupSchedule
 {
 public:
-    explicit GroupSchedule(std::uint32_t seed) : m_random(seed)
+    /// With workspaces, each request is of one of them, and members that have many connections refuse to open more.
+    /// `synchronousReplicas`: a write is answered only after that many replicas have it, which a promotion must not lose.
+    explicit GroupSchedule(std::uint32_t seed,
+                           std::uint32_t workspaceCount = 0,
+                           std::uint32_t synchronousReplicas = 0,
+                           bool hasEpochs = false)
+        : m_random(seed), m_workspaceCount(workspaceCount), m_synchronousReplicas(synchronousReplicas), m_hasEpochs(hasEpochs)
     {
         for (int i = 0; i < memberCount; ++i) {
             m_members[i].isPrimary = i == 0;
         }
         for (int i = 0; i < homeCount; ++i) {
             m_homes.push_back(std::make_unique<Home>(*this, i));
+            GroupHomeLimits limits;
+            limits.synchronousReplicas = synchronousReplicas;
+            m_homes.back()->groupHome.setLimits(limits);
             m_homes.back()->groupHome.membersChanged(records(), m_now);
         }
     }
@@ -41,6 +51,9 @@
     {
         m_now += 10ms;
         injectFault();
+        if (m_hasEpochs) {
+            runEpochs();
+        }
         replicate();
         completePromotion();
         for (auto &home : m_homes) {
@@ -60,6 +73,22 @@
     {
         return m_promotionCount;
     }
+    std::size_t overloadCount() const
+    {
+        return m_overloadCount;
+    }
+    std::uint64_t closedForRoomCount() const
+    {
+        std::uint64_t count = 0;
+        for (const auto &home : m_homes) {
+            count += home->groupHome.connectionCounters().closedForRoom;
+        }
+        return count;
+    }
+    std::uint64_t storeEpoch() const
+    {
+        return m_epoch;
+    }
     /// Ends all faults and injects no more.
     void endFaults()
     {
@@ -69,7 +98,7 @@
             home->reachesMember.fill(true);
         }
         for (Member &member : m_members) {
-            member.isUp = true;
+            restart(member);
         }
         m_areFaultsEnded = true;
     }
@@ -77,6 +106,8 @@
 private:
     static constexpr int memberCount = 3;
     static constexpr int homeCount = 2;
+    /// Of one home, at a member; a member with fewer refuses some too.
+    static constexpr std::uint32_t acceptedConnections = 16;
 
     struct Member {
         bool isUp = true;
@@ -101,6 +132,12 @@
         std::string id;
         bool isWrite = false;
         std::set<std::string> requiredWrites;
+        WorkspaceName workspace;
+    };
+    struct StoreCopy {
+        std::optional<TermRecord> term;
+        std::uint64_t termRevision = 0;
+        std::uint64_t storeRevision = 0;
     };
     struct ScheduledEvent {
         TimePoint dueAt;
@@ -108,14 +145,33 @@
     };
 
     struct Home : HomeEffects {
-        Home(GroupSchedule &owner, int number)
-            : schedule(owner), name("h" + std::to_string(number) + "/1"), groupHome(ServiceName("orders"), name, GroupHomeLimits(), *this)
+        Home(GroupSchedule &owner, int number, int process = 1)
+            : schedule(owner)
+            , name("h" + std::to_string(number) + "/" + std::to_string(process))
+            , groupHome(ServiceName("orders"), name, GroupHomeLimits(), *this)
         {
             reachesMember.fill(true);
         }
-        void openConnection(ConnectionNumber connection, const MemberRecord &record, const WorkspaceName &) override
+        void openConnection(ConnectionNumber connection, const MemberRecord &record, const WorkspaceName &workspace) override
         {
             connectionMembers[connection] = schedule.memberIndex(record.id);
+            connectionWorkspaces[connection] = workspace;
+            const auto count = std::count_if(connectionMembers.begin(), connectionMembers.end(), [&](const auto &entry) {
+                return entry.second == schedule.memberIndex(record.id);
+            });
+            if (static_cast<std::size_t>(count) > GroupHomeLimits().maxConnections) {
+                schedule.recordViolation("more connections than the limit");
+            }
+            const bool isOverloaded
+                = schedule.m_workspaceCount > 0 && static_cast<std::uint32_t>(count) > schedule.m_random() % acceptedConnections;
+            if (isOverloaded) {
+                ++schedule.m_overloadCount;
+                runAfter(20ms, [this, connection] {
+                    connectionMembers.erase(connection);
+                    groupHome.connectionFailed(connection, ConnectFailure::Overloaded, schedule.m_now);
+                });
+                return;
+            }
             runAfter(20ms, [this, connection] {
                 const auto connectionMember = connectionMembers.find(connection);
                 if (connectionMember == connectionMembers.end()) {
@@ -134,6 +190,13 @@
         }
         void sendCommand(ConnectionNumber connection, const MemberCommand &command) override
         {
+            const auto &statementId = command.statement.id;
+            const auto request = std::find_if(openRequests.begin(), openRequests.end(), [&](const auto &entry) {
+                return entry.second.id == statementId;
+            });
+            if (request != openRequests.end() && request->second.workspace != connectionWorkspaces.at(connection)) {
+                schedule.recordViolation(statementId + " was sent on a connection of another workspace");
+            }
             pendingCommands.push_back({connection, command, schedule.m_now + schedule.randomDelay()});
         }
         void closeConnection(ConnectionNumber connection) override
@@ -148,29 +211,51 @@
         void writeTerm(const TermRecord &record, std::uint64_t expectedRevision) override
         {
             const TimePoint startedAt = schedule.m_now;
-            runAfter(schedule.randomDelay(), [this, record, expectedRevision, startedAt] {
-                const bool isWritten = reachesStore && schedule.m_termRevision == expectedRevision;
-                if (isWritten) {
-                    schedule.m_term = record;
-                    schedule.m_termRevision = ++schedule.m_storeRevision;
-                    groupHome.termSeen(record, schedule.m_termRevision, startedAt, schedule.m_now);
-                } else {
-                    groupHome.termWriteFailed(reachesStore ? TermWriteFailure::Superseded : TermWriteFailure::StoreUnavailable,
+            const bool isOutdated = expectedRevision != 0 && storeEpochOf(expectedRevision) != knownEpoch;
+            runAfter(schedule.randomDelay(), [this, record, expectedRevision, startedAt, isOutdated] {
+                const bool isReached = schedule.isStoreReached(*this);
+                const bool isWritten = isReached && !isOutdated && schedule.m_termRevision == numberInStoreEpoch(expectedRevision);
+                if (!isWritten) {
+                    groupHome.termWriteFailed(isReached ? TermWriteFailure::Superseded : TermWriteFailure::StoreUnavailable,
                                               schedule.m_now);
+                    return;
+                }
+                schedule.storeTerm(record);
+                const auto answer = [this, record, startedAt, epoch = schedule.m_epoch, revision = schedule.m_termRevision] {
+                    if (epoch < knownEpoch) {
+                        groupHome.termWriteFailed(TermWriteFailure::StoreUnavailable, schedule.m_now); // a late answer
+                        return;
+                    }
+                    learnEpoch(epoch);
+                    groupHome.termSeen(record, firstOfStoreEpoch(epoch) + revision, startedAt, schedule.m_now);
+                };
+                if (schedule.m_hasEpochs) {
+                    runAfter(schedule.randomDelay(), answer);
+                } else {
+                    answer();
                 }
             });
         }
+        /// The store's answer, or another instance, shows an epoch.
+        void learnEpoch(std::uint64_t epoch)
+        {
+            knownEpoch = std::max(knownEpoch, epoch);
+            groupHome.storeEpochChanged(epoch, schedule.m_now, schedule.m_now);
+        }
         void readTerm() override
         {
             const TimePoint startedAt = schedule.m_now;
             runAfter(schedule.randomDelay(), [this, startedAt] {
-                if (!reachesStore) {
+                if (!schedule.isStoreReached(*this)) {
                     return;
                 }
                 const auto term = schedule.m_term;
                 const auto revision = schedule.m_termRevision;
-                runAfter(schedule.randomDelay(), [this, term, revision, startedAt] {
-                    groupHome.termSeen(term, revision, startedAt, schedule.m_now);
+                runAfter(schedule.randomDelay(), [this, term, revision, startedAt, epoch = schedule.m_epoch] {
+                    if (epoch >= knownEpoch) {
+                        learnEpoch(epoch);
+                        groupHome.termSeen(term, firstOfStoreEpoch(epoch) + revision, startedAt, schedule.m_now);
+                    }
                 });
             });
         }
@@ -186,11 +271,13 @@
         void askToYield(const std::string &home, std::uint64_t generation) override
         {
             runAfter(schedule.randomDelay(), [this, home, generation] {
-                Home &other = *schedule.m_homes[home == schedule.m_homes[0]->name ? 0 : 1];
+                Home &other = *schedule.m_homes[home.starts_with("h0/") ? 0 : 1];
                 if (schedule.m_now < other.pausedUntil || schedule.m_random() % 3 == 0) {
                     return; // the request is lost
                 }
-                other.groupHome.yieldLease(generation, schedule.m_now);
+                if (!other.groupHome.yieldLease(generation, schedule.m_now)) {
+                    return;
+                }
                 runAfter(schedule.randomDelay(), [this, home, generation] {
                     groupHome.leaseYielded(home, generation, schedule.m_now);
                 });
@@ -213,6 +300,7 @@
         GroupSchedule &schedule;
         std::string name;
         std::map<ConnectionNumber, int> connectionMembers;
+        std::map<ConnectionNumber, WorkspaceName> connectionWorkspaces;
         /// The member's process that each open connection leads to.
         std::map<ConnectionNumber, int> connectionProcesses;
         std::map<ConnectionNumber, std::vector<std::string>> transactions;
@@ -220,6 +308,7 @@
         std::deque<ScheduledEvent> scheduledEvents;
         std::array<bool, memberCount> reachesMember{};
         bool reachesStore = true;
+        std::uint64_t knownEpoch = 0;
         TimePoint pausedUntil{};
         std::map<RequestNumber, SentRequest> openRequests;
         RequestNumber lastRequest = 0;
@@ -277,15 +366,67 @@
             break;
         }
     }
+    bool isStoreReached(const Home &home) const
+    {
+        return home.reachesStore && m_now >= m_storeAwayUntil;
+    }
+    void storeTerm(const TermRecord &record)
+    {
+        const auto [named, isNew] = m_namedPrimaries.try_emplace({m_epoch, record.generation}, record.primary);
+        if (!isNew && !record.primary.isEmpty() && !named->second.isEmpty() && named->second != record.primary) {
+            recordViolation("a generation names two primaries");
+        }
+        named->second = record.primary.isEmpty() ? named->second : record.primary;
+        m_term = record;
+        m_termRevision = ++m_storeRevision;
+    }
+    /// Now and then the store goes away for a moment and comes back from a copy that is up to some seconds old, or a home restarts.
+    /// Homes tell each other of the epoch.
+    void runEpochs()
+    {
+        constexpr std::uint32_t meanStepsBetweenReturns = 350;
+        constexpr std::uint32_t meanStepsBetweenRestarts = 900;
+        constexpr std::uint32_t meanStepsBetweenPongs = 60;
+        constexpr std::size_t maxCopies = 600;
+        m_copies.push_back({m_term, m_termRevision, m_storeRevision});
+        if (m_copies.size() > maxCopies) {
+            m_copies.pop_front();
+        }
+        if (!m_areFaultsEnded && m_random() % meanStepsBetweenReturns == 0) {
+            const StoreCopy copy = m_copies[m_random() % m_copies.size()];
+            m_term = copy.term;
+            m_termRevision = copy.termRevision;
+            m_storeRevision = copy.storeRevision;
+            ++m_epoch;
+            m_storeAwayUntil = m_now + std::chrono::milliseconds(m_random() % 1500);
+        }
+        if (!m_areFaultsEnded && m_random() % meanStepsBetweenRestarts == 0) {
+            const int number = static_cast<int>(m_random() % homeCount);
+            m_homes[number] = std::make_unique<Home>(*this, number, ++m_lastProcess);
+            m_homes[number]->groupHome.membersChanged(records(), m_now);
+        }
+        if (m_random() % meanStepsBetweenPongs == 0) {
+            for (auto &home : m_homes) {
+                if (m_now >= home->pausedUntil) {
+                    home->learnEpoch(std::max(m_homes[0]->knownEpoch, m_homes[1]->knownEpoch));
+                }
+            }
+        }
+    }
     static void crash(Member &member)
     {
         member.isUp = false;
         member.fenceTerm = 0;
         ++member.process;
     }
-    static void restart(Member &member)
+    void restart(Member &member)
     {
         member.isUp = true;
+        // A replaced primary follows the new one once it has restarted. Without synchronous replicas, the schedules need no such member.
+        const int primary = primaryIndex();
+        if (m_synchronousReplicas > 0 && primary >= 0 && m_members[primary].term > member.term) {
+            member.isPrimary = false;
+        }
     }
 
     /// Index of the member that leads the highest term; -1 if none leads.
@@ -314,6 +455,25 @@
             }
         }
     }
+    /// Copies the primary's log to as many random replicas as a commit needs. Returns whether there were enough.
+    bool replicateSynchronously(const Member &primary)
+    {
+        std::vector<Member *> receivers;
+        for (Member &member : m_members) {
+            if (&member != &primary && member.isUp && !member.isPrimary && member.fenceTerm == 0 && member.term <= primary.term) {
+                receivers.push_back(&member);
+            }
+        }
+        std::shuffle(receivers.begin(), receivers.end(), m_random);
+        if (receivers.size() < m_synchronousReplicas) {
+            return false;
+        }
+        for (std::uint32_t i = 0; i < m_synchronousReplicas; ++i) {
+            receivers[i]->log = primary.log;
+            receivers[i]->term = primary.term;
+        }
+        return true;
+    }
     void promotionOrdered(const MemberId &id, std::uint64_t token)
     {
         if (token < m_highestToken) {
@@ -341,6 +501,10 @@
         for (const Member &each : m_members) {
             highestTerm = std::max(highestTerm, each.term);
         }
+        for (Member &each : m_members) {
+            // Without faults, a replaced primary learns of the new term and follows it.
+            each.isPrimary = each.isPrimary && (m_synchronousReplicas == 0 || !m_areFaultsEnded);
+        }
         member.isPrimary = true;
         member.term = highestTerm + 1;
         member.fenceTerm = 0;
@@ -350,6 +514,11 @@
         for (const auto &[term, id] : member.log) {
             logIds.insert(id);
         }
+        for (const std::string &acknowledged : m_acknowledgedWrites) {
+            if (m_synchronousReplicas > 0 && !logIds.contains(acknowledged)) {
+                recordViolation(acknowledged + " was acknowledged, and a member without it was promoted");
+            }
+        }
         for (auto each = m_acknowledgedWrites.begin(); each != m_acknowledgedWrites.end();) {
             each = logIds.contains(*each) ? std::next(each) : m_acknowledgedWrites.erase(each);
         }
@@ -392,7 +561,9 @@
         Answer answer = Answer::success(SessionPhase::Idle);
         std::optional<ReplicationStatus> status;
         if (each.command.kind == CommandKind::Statement) {
-            runStatement(home, each, member, answer);
+            if (!runStatement(home, each, member, answer)) {
+                return;
+            }
         } else {
             if (each.command.kind == CommandKind::Suspend) {
                 if (member.isPrimary) {
@@ -417,19 +588,20 @@
             }
         });
     }
-    void runStatement(Home &home, const SentCommand &each, Member &member, Answer &answer)
+    /// Returns whether the member answers.
+    bool runStatement(Home &home, const SentCommand &each, Member &member, Answer &answer)
     {
         const Statement &statement = each.command.statement;
         const bool isWrite = statement.kind == StatementKind::Write;
         if (isWrite && !member.isPrimary) {
             answer = Answer::failure(StatementError::ReadOnly, "", SessionPhase::Idle);
-            return;
+            return true;
         }
         if (statement.after && member.position() < *statement.after) {
             answer = Answer::failure(StatementError::Lagging, "", SessionPhase::Idle);
-            return;
+            return true;
         }
-        answer.signature = "signed";
+        answer.signature = "run-" + std::to_string(++m_runCount);
         if (isWrite) {
             if (!m_executedWrites.insert(statement.id).second) {
                 recordViolation(statement.id + " ran twice");
@@ -441,7 +613,7 @@
             if (&member != &m_members[primaryIndex()]) {
                 m_writesAtReplacedPrimary.insert(statement.id);
             }
-            return;
+            return m_synchronousReplicas == 0 || replicateSynchronously(member);
         }
         std::set<std::string> logIds;
         for (const auto &[term, id] : member.log) {
@@ -453,10 +625,11 @@
             }
             for (const std::string &requiredWrite : sentRequest.requiredWrites) {
                 if (m_acknowledgedWrites.contains(requiredWrite) && !logIds.contains(requiredWrite)) {
-                    m_staleReads.insert(statement.id);
+                    m_staleRuns.insert(answer.signature);
                 }
             }
         }
+        return true;
     }
 
     void sendRequest()
@@ -468,9 +641,13 @@
         HomeRequest request;
         request.number = ++home.lastRequest;
         SentRequest &sentRequest = home.openRequests[request.number];
-        sentRequest.id = home.name + std::to_string(request.number);
+        sentRequest.id = home.name + ':' + std::to_string(request.number);
         sentRequest.isWrite = m_random() % 2 == 0;
         sentRequest.requiredWrites = m_acknowledgedWrites;
+        if (m_workspaceCount > 0) {
+            sentRequest.workspace = WorkspaceName("w" + std::to_string(m_random() % m_workspaceCount));
+        }
+        request.workspace = sentRequest.workspace;
         request.forwarded.statement.id = sentRequest.id;
         request.forwarded.statement.kind = sentRequest.isWrite ? StatementKind::Write : StatementKind::Read;
         request.forwarded.statement.arguments = "1 a";
@@ -497,7 +674,7 @@
             if (m_writesAtReplacedPrimary.contains(sentRequest.id)) {
                 recordViolation(sentRequest.id + " was acknowledged by a replaced primary");
             }
-            if (m_staleReads.contains(sentRequest.id)) {
+            if (m_staleRuns.contains(reply.answer.signature)) {
                 recordViolation(sentRequest.id + " was answered from a log that lacked an acknowledged commit");
             }
             if (sentRequest.isWrite) {
@@ -518,6 +695,15 @@
     }
 
     std::mt19937 m_random;
+    std::uint32_t m_workspaceCount = 0;
+    std::uint32_t m_synchronousReplicas = 0;
+    bool m_hasEpochs = false;
+    std::uint64_t m_epoch = 0;
+    TimePoint m_storeAwayUntil{};
+    std::deque<StoreCopy> m_copies;
+    /// The primary that each generation has named, by epoch of the store and generation.
+    std::map<std::pair<std::uint64_t, std::uint64_t>, MemberId> m_namedPrimaries;
+    int m_lastProcess = 1;
     TimePoint m_now{1000s};
     std::array<Member, memberCount> m_members;
     std::vector<std::unique_ptr<Home>> m_homes;
@@ -533,10 +719,13 @@
     std::set<std::string> m_executedWrites;
     std::set<std::string> m_writesReportedNotRun;
     std::set<std::string> m_writesAtReplacedPrimary;
-    std::set<std::string> m_staleReads;
+    /// Signatures of reads that ran on a log which lacked a required write. A read may run again elsewhere if such an answer is withheld.
+    std::set<std::string> m_staleRuns;
+    std::size_t m_runCount = 0;
     std::string m_violation;
     std::size_t m_acknowledgedCount = 0;
     std::size_t m_promotionCount = 0;
+    std::size_t m_overloadCount = 0;
     bool m_areFaultsEnded = false;
 };
 
--- a/decisions/test/session/groupschedule_test.cpp
+++ b/decisions/test/session/groupschedule_test.cpp
@@ -40,6 +40,59 @@
     CHECK(promotions > 20);
 }
 
+// Guards against statements that run under the wrong caller. Many more workspaces than connections make homes close some for others.
+TEST_CASE("No statement is sent on a connection of another workspace, under any schedule of faults", "[groupschedule]")
+{
+    std::size_t acknowledged = 0;
+    std::size_t overloads = 0;
+    std::uint64_t closedForRoom = 0;
+    for (std::uint32_t seed = firstSeed; seed < firstSeed + scheduleCount / 3; ++seed) {
+        GroupSchedule schedule(seed, 40);
+        for (int i = 0; i < stepsPerSchedule && schedule.violation().empty(); ++i) {
+            schedule.step();
+        }
+        INFO("seed " << seed);
+        REQUIRE(schedule.violation() == std::string());
+        acknowledged += schedule.acknowledgedCount();
+        overloads += schedule.overloadCount();
+        closedForRoom += schedule.closedForRoomCount();
+    }
+    CHECK(acknowledged > 3'000);
+    CHECK(overloads > 100);
+    CHECK(closedForRoom > 100);
+}
+
+// Guards against the promotion of a member that lacks acknowledged commits, and against a group that waits for them for good.
+TEST_CASE("No acknowledged write is lost by a promotion if commits are synchronous, under any schedule of faults", "[groupschedule]")
+{
+    std::size_t acknowledged = 0;
+    std::size_t promotions = 0;
+    for (const std::uint32_t synchronousReplicas : {1U, 2U}) {
+        for (std::uint32_t seed = firstSeed; seed < firstSeed + scheduleCount / 2; ++seed) {
+            GroupSchedule schedule(seed, 0, synchronousReplicas);
+            for (int i = 0; i < stepsPerSchedule && schedule.violation().empty(); ++i) {
+                schedule.step();
+            }
+            INFO("seed " << seed << ", synchronous replicas " << synchronousReplicas);
+            REQUIRE(schedule.violation() == std::string());
+            acknowledged += schedule.acknowledgedCount();
+            promotions += schedule.promotionCount();
+            schedule.endFaults();
+            for (int i = 0; i < recoverySteps; ++i) {
+                schedule.step();
+            }
+            const std::size_t before = schedule.acknowledgedCount();
+            for (int i = 0; i < 100; ++i) {
+                schedule.step();
+            }
+            CHECK(schedule.acknowledgedCount() > before + 20);
+            CHECK(schedule.violation() == std::string());
+        }
+    }
+    CHECK(acknowledged > 5'000);
+    CHECK(promotions > 20);
+}
+
 TEST_CASE("A group answers requests again after all faults have ended", "[groupschedule]")
 {
     // In the first schedule, the store is away at the first request.
@@ -66,4 +119,48 @@
     }
 }
 
+// Guards against a primary that is appointed from a restored or lost term record while another leads, against fencing tokens that go
+// back with the store's revisions, and against homes that never find back to the term.
+TEST_CASE("Replies agree with what the members did although the store comes back from older copies", "[groupschedule]")
+{
+    std::size_t acknowledged = 0;
+    std::size_t promotions = 0;
+    std::uint64_t epochs = 0;
+    for (std::uint32_t seed = firstSeed; seed < firstSeed + scheduleCount; ++seed) {
+        GroupSchedule schedule(seed, 0, 0, true);
+        for (int i = 0; i < stepsPerSchedule && schedule.violation().empty(); ++i) {
+            schedule.step();
+        }
+        INFO("seed " << seed);
+        REQUIRE(schedule.violation() == std::string());
+        acknowledged += schedule.acknowledgedCount();
+        promotions += schedule.promotionCount();
+        epochs += schedule.storeEpoch();
+    }
+    CHECK(acknowledged > 10'000);
+    CHECK(promotions > 20);
+    CHECK(epochs > scheduleCount);
+}
+
+TEST_CASE("A group answers requests again after the store has come back from older copies", "[groupschedule]")
+{
+    for (std::uint32_t seed = firstSeed; seed < firstSeed + scheduleCount / 3; ++seed) {
+        GroupSchedule schedule(seed, 0, 0, true);
+        for (int i = 0; i < stepsPerSchedule; ++i) {
+            schedule.step();
+        }
+        schedule.endFaults();
+        for (int i = 0; i < 2 * recoverySteps; ++i) {
+            schedule.step();
+        }
+        const std::size_t before = schedule.acknowledgedCount();
+        for (int i = 0; i < 100; ++i) {
+            schedule.step();
+        }
+        INFO("seed " << seed);
+        CHECK(schedule.acknowledgedCount() > before + 20);
+        CHECK(schedule.violation() == std::string());
+    }
+}
+
 } // namespace rattanbeam::decisions::session::test
--- a/sessions/include/rattanbeam/sessions/internal/homeservice.h
+++ b/sessions/include/rattanbeam/sessions/internal/homeservice.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "rattanbeam/decisions/session/clientbudget.h"
 #include "rattanbeam/decisions/session/grouphome.h"
 #include "rattanbeam/decisions/session/homeplan.h"
 #include "rattanbeam/sessions/eventloop.h"
 #include "rattanbeam/sessions/internal/directory.h"
 #include "rattanbeam/sessions/internal/peerlinks.h"
+#include "rattanbeam/sessions/internal/quotaservice.h"
 #include "rattanbeam/sessions/ports.h"
 #include "rattanbeam/sessions/sessionsettings.h"
 
@@ -26,8 +28,13 @@
 public:
     using ReplyCallback = std::function<void(const link::v1::StatementReply &)>;
 
-    HomeService(
-        EventLoop &loop, const SessionSettings &settings, std::uint64_t incarnation, Directory &directory, PeerLinks &links, Ports &ports);
+    HomeService(EventLoop &loop,
+                const SessionSettings &settings,
+                std::uint64_t incarnation,
+                Directory &directory,
+                PeerLinks &links,
+                QuotaService &quotas,
+                Ports &ports);
     ~HomeService();
 
     /// Runs a statement that came from `entry`, which identifies the entry instance's connection.
@@ -49,6 +56,10 @@
     void fleetChanged();
     /// The instances that may be home to a service, most preferred first.
     const HomeRanking &ranking(const ServiceName &service) const;
+    const std::map<ServiceName, HomeRanking> &rankings() const
+    {
+        return m_rankings;
+    }
     /// The instances that watch the store on behalf of the others.
     const std::vector<InstanceRecord> &relays() const
     {
@@ -60,17 +71,33 @@
     void termSeen(const ServiceName &service, const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt);
     void tick();
     /// This process was suspended for `pause`.
+    /// The store has come back from an older copy.
+    void storeEpochChanged(std::uint64_t epoch, TimePoint seenAt);
     void paused(decisions::Duration pause);
     /// Whether requests are redirected to other homes, except those of open transactions. To be set while this instance is leaving or
     /// overloaded.
     void setRedirecting(bool isRedirecting);
-    /// Whether no home has requests or open transactions.
+    /// Whether no home has requests or open transactions, and none waits for its quota.
     bool isQuiet() const;
     /// Whether this instance is no service's first home, and isQuiet().
     bool isIdle() const;
     /// Number of connections to members, those being opened included.
     std::size_t connections() const;
+    /// Counts of connections by service.
+    std::map<ServiceName, ConnectionCounters> connectionCounters() const;
     std::size_t openTransactions() const;
+    /// Maximum number of statements in flight at each member of the services whose home is here.
+    std::map<ServiceName, std::map<MemberId, std::size_t>> memberLimits() const;
+    /// Bytes of the statements that were accepted and are not answered yet, for all entries.
+    std::size_t acceptedBytes() const
+    {
+        return m_acceptedBudget->total();
+    }
+    /// Number of statements that were refused because there was no room for them.
+    std::uint64_t refusedForMemory() const
+    {
+        return m_refusedForMemory;
+    }
 
 private:
     class ServiceHome;
@@ -89,6 +116,10 @@
         std::uint64_t generation = 0;
     };
 
+    /// Gives an admitted statement to the home of its service.
+    void runStatement(const std::string &entry, const link::v1::StatementRequest &message, TimePoint arrivedAt, ReplyCallback callback);
+    /// Whether new work is to be sent to another home; calls back with such a reply if so.
+    bool redirect(const link::v1::StatementRequest &message, const ReplyCallback &callback) const;
     /// Returns the service's home, creating it if there is none.
     ServiceHome *ensureServiceHome(const ServiceName &service);
     decisions::session::GroupHome &homeOf(const ServiceName &service);
@@ -96,6 +127,8 @@
     void updateServiceHome(ServiceHome &serviceHome);
     bool isFirstHome(const ServiceName &service) const;
     void planHomesAndRelays();
+    /// Answers a statement for which there is no room, and ends its transaction.
+    void refuseForMemory(const std::string &entry, const link::v1::StatementRequest &message, const ReplyCallback &callback);
     void probeMember(const MemberRecord &member, const std::function<void(bool isReachable)> &callback);
     /// Asks up to three instances, at most two of each failure domain, whether they reach the member. Only instances of other domains
     /// are asked, if there are any.
@@ -110,6 +143,7 @@
     std::string m_self;
     Directory &m_directory;
     PeerLinks &m_links;
+    QuotaService &m_quotas;
     Ports &m_ports;
     bool m_isRedirecting = false;
     std::map<ServiceName, HomeRanking> m_rankings;
@@ -117,6 +151,8 @@
     /// Digest of the instances and version of the configuration that the plan was made from.
     std::pair<std::uint64_t, std::uint64_t> m_planBasis;
     std::map<ServiceName, std::unique_ptr<ServiceHome>> m_serviceHomes;
+    std::shared_ptr<decisions::session::StatementBudget> m_acceptedBudget;
+    std::uint64_t m_refusedForMemory = 0;
     std::map<RequestNumber, ReplyCallback> m_replyCallbacks;
     RequestNumber m_lastRequestNumber = 0;
     /// Numbers inquiries, yield requests and probes.
--- a/sessions/include/rattanbeam/sessions/sessionsettings.h
+++ b/sessions/include/rattanbeam/sessions/sessionsettings.h
@@ -2,6 +2,8 @@
 
 #include "rattanbeam/decisions/identifiers.h"
 #include "rattanbeam/decisions/result.h"
+#include "rattanbeam/decisions/session/clientbudget.h"
+#include "rattanbeam/decisions/session/quotamessages.h"
 #include "rattanbeam/kernel/logevent.h"
 
 #include <chrono>
@@ -33,6 +35,15 @@
     std::chrono::milliseconds grace{};
     /// Processor share times the relative speed of the core, in thousandths of a core.
     std::uint32_t processorMilli = 1000;
+    /// The bound that the operations of workspaces with a limit must keep.
+    decisions::session::QuotaBound quotaBound;
+    /// Whether members that have started, recovered or failed are given their slots step by step.
+    bool isPaceEnabled = true;
+    /// Descriptors that the process may open.
+    std::uint32_t descriptors = 0;
+    /// Bytes kept for clients.
+    std::size_t clientBytes = 0;
+    decisions::session::ClientLimits clients;
     kernel::LogLevel logLevel = kernel::LogLevel::Info;
     /// Maximum number of log lines per second, and as many again for warnings. Successful requests may use a tenth of it.
     std::uint32_t logLinesPerSecond = 0;
@@ -41,7 +52,8 @@
 };
 
 /// Parses and validates the INI text; the error names the section and the key.
-decisions::Result<SessionSettings> parseSessionSettings(const std::string &text);
+/// `defaults` holds values for keys that the text does not set, each as `SECTION.KEY=VALUE`.
+decisions::Result<SessionSettings> parseSessionSettings(const std::string &text, const std::vector<std::string> &defaults = {});
 
 /// Whether the INI text selects the sessions interface, by `kind = sessions` in its `interface` section.
 bool selectsSessionsInterface(const std::string &text);
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -72,6 +72,15 @@
     return message;
 }
 
+HomeReply quotaRefusal(decisions::Duration retryAfter)
+{
+    const auto milliseconds = std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::milliseconds>(retryAfter).count());
+    HomeReply refusal;
+    refusal.answer
+        = Answer::failure(StatementError::Busy, "quota-exceeded retry-after-ms=" + std::to_string(milliseconds), SessionPhase::Idle);
+    return refusal;
+}
+
 } // namespace
 
 /// One service's home, and the connections and calls that carry out its decisions.
@@ -174,14 +183,21 @@
     GroupHome m_home;
 };
 
-HomeService::HomeService(
-    EventLoop &loop, const SessionSettings &settings, std::uint64_t incarnation, Directory &directory, PeerLinks &links, Ports &ports)
+HomeService::HomeService(EventLoop &loop,
+                         const SessionSettings &settings,
+                         std::uint64_t incarnation,
+                         Directory &directory,
+                         PeerLinks &links,
+                         QuotaService &quotas,
+                         Ports &ports)
     : m_loop(loop)
     , m_settings(settings)
     , m_self(settings.instance.text() + '/' + std::to_string(incarnation))
     , m_directory(directory)
     , m_links(links)
+    , m_quotas(quotas)
     , m_ports(ports)
+    , m_acceptedBudget(std::make_shared<decisions::session::StatementBudget>(settings.clients.maxAcceptedBytes))
 {}
 
 HomeService::~HomeService() = default;
@@ -249,13 +265,16 @@
             continue;
         }
         GroupHomeLimits limits;
+        limits.isPaceEnabled = m_settings.isPaceEnabled;
         if (m_directory.configuration()) {
             limits.maxConnections = m_directory.configuration()->maxConnections(name);
             limits.reservedConnections = std::max(3U, limits.maxConnections / 4);
+            limits.synchronousReplicas = m_directory.configuration()->limitsOf(name).synchronousReplicas;
             limits.transactionIdleTimeout = std::chrono::milliseconds(m_directory.configuration()->transactionIdleMs);
         }
         serviceHome.home().setLimits(limits);
         serviceHome.home().setFirstHome(isFirstHome(name));
+        serviceHome.home().storeEpochChanged(m_directory.storeEpoch(), m_directory.storeEpochSeenAt(), now);
         serviceHome.home().membersChanged(m_directory.members(), now);
         if (m_directory.areTermsLoaded()) {
             const auto [term, revision] = m_directory.term(name);
@@ -264,19 +283,71 @@
     }
 }
 
+bool HomeService::redirect(const link::v1::StatementRequest &message, const ReplyCallback &callback) const
+{
+    const bool continuesTransaction = message.transaction() != 0 && !message.opens();
+    if (!m_isRedirecting || continuesTransaction) {
+        return false;
+    }
+    HomeReply refusal;
+    refusal.answer = Answer::failure(StatementError::Busy, "home-away", SessionPhase::Idle);
+    refusal.isRedirect = true;
+    callback(statementReply(message.request(), refusal));
+    return true;
+}
+
 void HomeService::handleStatement(const std::string &entry, const link::v1::StatementRequest &message, ReplyCallback callback)
 {
+    if (redirect(message, callback)) {
+        return;
+    }
+    const std::size_t bytes = message.ByteSizeLong();
+    if (!m_acceptedBudget->tryAdd(bytes)) {
+        refuseForMemory(entry, message, callback);
+        return;
+    }
+    // Released with the callback, whether the statement is answered, refused or dropped with its entry.
+    const std::shared_ptr<const void> heldBytes(nullptr, [budget = m_acceptedBudget, bytes](const void *) {
+        budget->release(bytes);
+    });
+    callback = [heldBytes, answer = std::move(callback)](const link::v1::StatementReply &reply) {
+        answer(reply);
+    };
     const TimePoint now = EventLoop::now();
-    const RequestNumber number = ++m_lastRequestNumber;
-    const std::uint64_t entryRequest = message.request();
-    const bool continuesTransaction = message.transaction() != 0 && !message.opens();
-    if (m_isRedirecting && !continuesTransaction) {
-        HomeReply refusal;
-        refusal.answer = Answer::failure(StatementError::Busy, "home-away", SessionPhase::Idle);
-        refusal.isRedirect = true;
-        callback(statementReply(entryRequest, refusal));
+    const WorkspaceName workspace(message.workspace());
+    const bool isOperation = message.transaction() == 0 || message.opens();
+    if (!isOperation || !m_quotas.isLimited(workspace)) {
+        runStatement(entry, message, now, std::move(callback));
+        return;
+    }
+    const QuotaService::Decision decision = m_quotas.request(workspace, now + std::chrono::milliseconds(message.timeout_ms()));
+    if (decision.verdict == decisions::session::QuotaVerdict::Admitted) {
+        runStatement(entry, message, now, std::move(callback));
+        return;
+    }
+    if (decision.verdict == decisions::session::QuotaVerdict::Refused) {
+        callback(statementReply(message.request(), quotaRefusal(decision.retryAfter)));
         return;
     }
+    m_quotas.whenDecided(decision.operation,
+                         entry,
+                         [this, entry, message, now, callback = std::move(callback)](bool isAdmitted, decisions::Duration retryAfter) {
+                             if (!isAdmitted) {
+                                 callback(statementReply(message.request(), quotaRefusal(retryAfter)));
+                             } else if (!redirect(message, callback)) {
+                                 runStatement(entry, message, now, callback);
+                             }
+                         });
+}
+
+void HomeService::runStatement(const std::string &entry,
+                               const link::v1::StatementRequest &message,
+                               TimePoint arrivedAt,
+                               ReplyCallback callback)
+{
+    const TimePoint now = EventLoop::now();
+    const RequestNumber number = ++m_lastRequestNumber;
+    const std::uint64_t entryRequest = message.request();
     m_replyCallbacks[number] = [entryRequest, callback = std::move(callback)](const link::v1::StatementReply &reply) {
         link::v1::StatementReply renumbered = reply;
         renumbered.set_request(entryRequest);
@@ -284,12 +355,33 @@
     };
     GroupHome &home = ensureServiceHome(ServiceName(message.service()))->home();
     const bool wasQuiet = home.isQuiet();
-    home.request(homeRequest(entry, message, number, now), now);
+    home.request(homeRequest(entry, message, number, arrivedAt), now);
     if (wasQuiet) {
         home.tick(now); // opens connections at once instead of at the next tick, which may be far away while this instance was idle
     }
 }
 
+void HomeService::refuseForMemory(const std::string &entry, const link::v1::StatementRequest &message, const ReplyCallback &callback)
+{
+    ++m_refusedForMemory;
+    const bool isInTransaction = message.transaction() != 0;
+    if (isInTransaction && !message.opens()) {
+        link::v1::TransactionEnd end;
+        end.set_session(message.session());
+        end.set_transaction(message.transaction());
+        endTransaction(entry, end);
+    }
+    LogEvent("request-refused")
+        .with("request", message.id())
+        .with("service", message.service())
+        .with("error", isInTransaction ? StatementError::Aborted : StatementError::Busy)
+        .with("reason", "home-memory");
+    HomeReply refusal;
+    refusal.answer = Answer::failure(
+        isInTransaction ? StatementError::Aborted : StatementError::Busy, "home-memory retry-after-ms=500", SessionPhase::Idle);
+    callback(statementReply(message.request(), refusal));
+}
+
 void HomeService::endTransaction(const std::string &entry, const link::v1::TransactionEnd &end)
 {
     const TimePoint now = EventLoop::now();
@@ -300,6 +392,7 @@
 
 void HomeService::entryLost(const std::string &entry)
 {
+    m_quotas.entryLost(entry);
     for (auto &[name, serviceHome] : m_serviceHomes) {
         serviceHome->home().entryLost(entry, EventLoop::now());
     }
@@ -308,13 +401,13 @@
 link::v1::FenceReply HomeService::yieldLease(const link::v1::FenceRequest &request)
 {
     const auto found = m_serviceHomes.find(ServiceName(request.service()));
-    if (found != m_serviceHomes.end()) {
-        found->second->home().yieldLease(request.generation(), EventLoop::now());
-    }
-    LogEvent("lease-yielded").with("service", request.service()).with("generation", request.generation());
+    const bool isYielded = found == m_serviceHomes.end() || found->second->home().yieldLease(request.generation(), EventLoop::now());
+    LogEvent(isYielded ? "lease-yielded" : "lease-kept").with("service", request.service()).with("generation", request.generation());
     link::v1::FenceReply reply;
     reply.set_number(request.number());
-    reply.set_instance(m_self);
+    if (isYielded) {
+        reply.set_instance(m_self);
+    }
     return reply;
 }
 
@@ -343,6 +436,14 @@
     }
 }
 
+void HomeService::storeEpochChanged(std::uint64_t epoch, TimePoint seenAt)
+{
+    const TimePoint now = EventLoop::now();
+    for (auto &[name, serviceHome] : m_serviceHomes) {
+        serviceHome->home().storeEpochChanged(epoch, seenAt, now);
+    }
+}
+
 void HomeService::paused(decisions::Duration pause)
 {
     for (auto &[name, serviceHome] : m_serviceHomes) {
@@ -368,9 +469,9 @@
 
 bool HomeService::isQuiet() const
 {
-    return std::all_of(m_serviceHomes.begin(), m_serviceHomes.end(), [](const auto &item) {
-        return item.second->home().isQuiet();
-    });
+    return m_quotas.waiting() == 0 && std::all_of(m_serviceHomes.begin(), m_serviceHomes.end(), [](const auto &item) {
+               return item.second->home().isQuiet();
+           });
 }
 
 bool HomeService::isIdle() const
@@ -390,6 +491,15 @@
     return total;
 }
 
+std::map<ServiceName, ConnectionCounters> HomeService::connectionCounters() const
+{
+    std::map<ServiceName, ConnectionCounters> counters;
+    for (const auto &[name, serviceHome] : m_serviceHomes) {
+        counters[name] = serviceHome->home().connectionCounters();
+    }
+    return counters;
+}
+
 std::size_t HomeService::openTransactions() const
 {
     std::size_t total = 0;
@@ -399,4 +509,13 @@
     return total;
 }
 
+std::map<ServiceName, std::map<MemberId, std::size_t>> HomeService::memberLimits() const
+{
+    std::map<ServiceName, std::map<MemberId, std::size_t>> limits;
+    for (const auto &[name, serviceHome] : m_serviceHomes) {
+        limits[name] = serviceHome->home().memberLimits();
+    }
+    return limits;
+}
+
 } // namespace rattanbeam::sessions::internal
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -1,6 +1,7 @@
 #include "rattanbeam/sessions/sessioninstance.h"
 
 #include "rattanbeam/decisions/session/lagmeter.h"
+#include "rattanbeam/decisions/session/storeepoch.h"
 #include "rattanbeam/kernel/logevent.h"
 #include "rattanbeam/kernel/metrics.h"
 #include "rattanbeam/sessions/internal/directory.h"
@@ -9,6 +10,7 @@
 #include "rattanbeam/sessions/internal/homeservice.h"
 #include "rattanbeam/sessions/internal/instancelink.h"
 #include "rattanbeam/sessions/internal/peerlinks.h"
+#include "rattanbeam/sessions/internal/quotaservice.h"
 
 #include <algorithm>
 #include <set>
@@ -39,6 +41,23 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
 }
 
+/// The text as the value of a metric's label.
+std::string labelText(const std::string &text)
+{
+    std::string escaped;
+    for (const char character : text) {
+        if (character == '\n') {
+            escaped += "\\n";
+            continue;
+        }
+        if (character == '"' || character == '\\') {
+            escaped += '\\';
+        }
+        escaped += character;
+    }
+    return escaped;
+}
+
 } // namespace
 
 class SessionInstance::Implementation
@@ -70,7 +89,8 @@
                    [this](const std::string &address, const link::v1::Pong &pong, TimePoint pingSentAt) {
                        pongArrived(address, pong, pingSentAt);
                    }})
-        , homes(loop, settings, incarnation, directory, peerLinks, ports)
+        , quotas(settings, directory, peerLinks, metrics)
+        , homes(loop, settings, incarnation, directory, peerLinks, quotas, ports)
         , entry(loop, settings, directory, peerLinks, homes, metrics)
         , fleetMonitor(loop, settings, *ports.store, directory, peerLinks, homes, entry)
     {}
@@ -78,6 +98,7 @@
     bool start();
     void drain(std::function<void()> closeFront, const std::function<void()> &drained);
     void registerSelf();
+    void storeEpochChanged(std::uint64_t epoch, TimePoint seenAt);
     void scheduleTick();
     void measureLag();
     bool isLeavingOrOverloaded() const;
@@ -89,6 +110,7 @@
     void requestSnapshot();
     internal::FrameEvents acceptPeer(const std::shared_ptr<internal::FrameStream> &stream);
     void handlePeerRequest(const std::string &peerName, const std::shared_ptr<internal::FrameStream> &stream, const link::v1::Frame &frame);
+    void withholdRows(const std::string &peerName, const link::v1::TransactionEnd &transaction, link::v1::StatementReply &reply);
     void handlePeerReply(const internal::HomeStream &home, const link::v1::Frame &frame);
     void pollDrain(const std::function<void()> &drained);
 
@@ -99,6 +121,7 @@
     kernel::Metrics metrics;
     internal::Directory directory;
     internal::PeerLinks peerLinks;
+    internal::QuotaService quotas;
     internal::HomeService homes;
     internal::EntryService entry;
     internal::FleetMonitor fleetMonitor;
@@ -139,6 +162,11 @@
     m_implementation->drain(std::move(closeFront), drained);
 }
 
+kernel::Metrics &SessionInstance::metrics()
+{
+    return m_implementation->metrics;
+}
+
 std::string SessionInstance::metricsText() const
 {
     std::ostringstream text;
@@ -153,6 +181,24 @@
     text << "rattanbeam_sessions " << m_implementation->entry.sessions() << '\n';
     text << "rattanbeam_member_connections " << m_implementation->homes.connections() << '\n';
     text << "rattanbeam_open_transactions " << m_implementation->homes.openTransactions() << '\n';
+    for (const auto &[service, counters] : m_implementation->homes.connectionCounters()) {
+        const std::string label = "{service=\"" + service.text() + "\"} ";
+        text << "rattanbeam_member_connections_opened_total" << label << counters.opened << '\n';
+        text << "rattanbeam_member_connections_closed_for_room_total" << label << counters.closedForRoom << '\n';
+        text << "rattanbeam_member_connections_refused_total" << label << counters.refusedAsOverloaded << '\n';
+    }
+    text << "rattanbeam_quota_delegations " << m_implementation->quotas.delegations() << '\n';
+    text << "rattanbeam_quota_waiting " << m_implementation->quotas.waiting() << '\n';
+    for (const auto &[service, limits] : m_implementation->homes.memberLimits()) {
+        for (const auto &[member, limit] : limits) {
+            text << "rattanbeam_member_limit{service=\"" << labelText(service.text()) << "\",member=\"" << labelText(member.text())
+                 << "\"} " << limit << '\n';
+        }
+    }
+    text << "rattanbeam_forwarded_bytes " << m_implementation->entry.forwardedBytes() << '\n';
+    text << "rattanbeam_accepted_bytes " << m_implementation->homes.acceptedBytes() << '\n';
+    text << "rattanbeam_refused_for_memory_total " << m_implementation->homes.refusedForMemory() << '\n';
+    text << "rattanbeam_store_epoch " << m_implementation->directory.storeEpoch() << '\n';
     return text.str();
 }
 
@@ -178,6 +224,9 @@
         [this](const ServiceName &service, const std::optional<TermRecord> &record, std::uint64_t revision, TimePoint startedAt) {
             homes.termSeen(service, record, revision, startedAt);
         });
+    directory.onStoreEpoch([this](std::uint64_t epoch, TimePoint seenAt) {
+        storeEpochChanged(epoch, seenAt);
+    });
     directory.start();
     registerSelf();
     scheduleTick();
@@ -199,6 +248,7 @@
         measureLag();
         peerLinks.tick();
         directory.tick();
+        quotas.tick();
         homes.tick();
         entry.tick();
     });
@@ -223,6 +273,7 @@
 void SessionInstance::Implementation::fleetChanged()
 {
     homes.fleetChanged();
+    quotas.fleetChanged(homes.rankings());
     directory.setRelay(homes.isRelay());
     updatePersistentPeers();
     if (directory.isReady() && !std::exchange(isReadyLogged, true)) {
@@ -261,6 +312,8 @@
     peer.membersDigest = pong.members_digest();
     peer.instancesDigest = pong.instances_digest();
     peer.termsDigest = pong.terms_digest();
+    peer.storeEpoch = pong.store_epoch();
+    peer.storeEpochSeenAt = EventLoop::now() - std::chrono::milliseconds(pong.store_epoch_age_ms());
     if (pong.follows_store()) {
         peer.confirmedAt = pingSentAt - std::chrono::milliseconds(pong.store_age_ms());
     }
@@ -309,7 +362,8 @@
             const bool isConflict = outcome == StoreOutcome::Conflict && current;
             registrationRevision = isConflict ? current->revision : outcome == StoreOutcome::Absent ? 0 : registrationRevision;
             if (isConflict && current->value == RecordValue(record)) {
-                return; // an earlier write without an answer has succeeded
+                directory.applyOwnRegistration(*current);
+                return; // an earlier write without an answer has succeeded, or the store's older copy holds it
             }
             loop.after(isConflict ? decisions::Duration(1ms) : registrationRetryDelay, [this] {
                 registerSelf();
@@ -317,6 +371,22 @@
         });
 }
 
+/// The store may have lost what this instance wrote: writes its registration again, and tells the homes.
+void SessionInstance::Implementation::storeEpochChanged(std::uint64_t epoch, TimePoint seenAt)
+{
+    homes.storeEpochChanged(epoch, seenAt);
+    const bool wasRegistered = storeEpochOf(registrationRevision) < epoch && std::exchange(registrationRevision, 0) != 0;
+    if (wasRegistered) {
+        // Not all instances in the same moment, in which the store has just come back.
+        const auto delay = std::chrono::milliseconds(decisions::stableHash(settings.instance.text() + std::to_string(epoch)) % 300);
+        loop.after(delay, [this] {
+            if (registrationRevision == 0) {
+                registerSelf();
+            }
+        });
+    }
+}
+
 void SessionInstance::Implementation::requestSnapshot()
 {
     if (directory.isReady()) {
@@ -354,6 +424,9 @@
                                                         const link::v1::Frame &frame)
 {
     link::v1::Frame answer;
+    link::v1::TransactionEnd key;
+    key.set_session(frame.statement().session());
+    key.set_transaction(frame.statement().transaction());
     switch (frame.body_case()) {
     case link::v1::Frame::kPing:
         answer.mutable_pong()->set_number(frame.ping().number());
@@ -362,9 +435,12 @@
         stream->write(answer);
         break;
     case link::v1::Frame::kStatement:
-        homes.handleStatement(peerName, frame.statement(), [stream](const link::v1::StatementReply &reply) {
+        homes.handleStatement(peerName, frame.statement(), [this, peerName, stream, key](const link::v1::StatementReply &reply) {
             link::v1::Frame message;
             *message.mutable_reply() = reply;
+            if (reply.rows_size() > 0 && stream->unwrittenBytes() > settings.clients.maxAcceptedBytes) {
+                withholdRows(peerName, key, *message.mutable_reply());
+            }
             stream->write(message);
         });
         break;
@@ -383,6 +459,10 @@
         *answer.mutable_fence_reply() = homes.yieldLease(frame.fence());
         stream->write(answer);
         break;
+    case link::v1::Frame::kQuotaRequest:
+        *answer.mutable_quota_reply() = quotas.handleRequest(frame.quota_request());
+        stream->write(answer);
+        break;
     case link::v1::Frame::kSnapshotRequest:
         *answer.mutable_snapshot() = directory.snapshot(frame.snapshot_request());
         answer.mutable_snapshot()->set_number(frame.snapshot_request().number());
@@ -393,6 +473,24 @@
     }
 }
 
+/// Replaces the answer by an error that promises nothing, and ends the transaction, which failed for the client.
+void SessionInstance::Implementation::withholdRows(const std::string &peerName,
+                                                   const link::v1::TransactionEnd &transaction,
+                                                   link::v1::StatementReply &reply)
+{
+    metrics.count("answers_withheld");
+    reply.clear_rows();
+    reply.clear_signature();
+    reply.set_error(static_cast<std::uint32_t>(StatementError::TimedOut));
+    reply.set_error_text("entry-reads-too-slowly");
+    if (transaction.transaction() != 0) {
+        reply.set_is_open(false);
+        loop.post([this, peerName, transaction] {
+            homes.endTransaction(peerName, transaction);
+        });
+    }
+}
+
 void SessionInstance::Implementation::handlePeerReply(const internal::HomeStream &home, const link::v1::Frame &frame)
 {
     switch (frame.body_case()) {
@@ -405,6 +503,9 @@
     case link::v1::Frame::kFenceReply:
         homes.yieldAnswered(frame.fence_reply());
         break;
+    case link::v1::Frame::kQuotaReply:
+        quotas.replyArrived(home.address, frame.quota_reply());
+        break;
     case link::v1::Frame::kSnapshot:
         directory.merge(frame.snapshot());
         break;
--- a/sessions/src/sessionsettings.cpp
+++ b/sessions/src/sessionsettings.cpp
@@ -47,6 +47,19 @@
     return addresses;
 }
 
+/// A number of the section `quotas`, from 0 to `maxValue`.
+double readQuotaNumber(IniReader &reader, const std::string &key, double maxValue, const std::string &defaultValue = "0")
+{
+    const std::string text = reader.text("quotas", key, defaultValue);
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size() || !(value >= 0) || value > maxValue) {
+        reader.fail("quotas", key, "'" + text + "' is not a number from 0 to " + std::to_string(static_cast<std::uint64_t>(maxValue)));
+        return 0;
+    }
+    return value;
+}
+
 /// Thousandths of a core: the share of a core, such as 0.25, times the relative speed of the core.
 std::uint32_t readProcessorMilli(IniReader &reader)
 {
@@ -65,11 +78,37 @@
     return static_cast<std::uint32_t>(std::max(1.0, std::round(cores * 1000)));
 }
 
+/// Limits on clients. The defaults of memory and descriptors are those of a small server; the platform names the machine's own.
+void readClientLimits(IniReader &reader, SessionSettings &settings)
+{
+    constexpr std::int64_t mebibyte = 1 << 20;
+    const std::int64_t memory = reader.integer("limits", "memory", {64, mebibyte}, 1024);
+    const auto defaultMemory = static_cast<std::int64_t>(decisions::session::defaultClientBytes(static_cast<std::size_t>(memory)));
+    const std::int64_t clientMemory = reader.integer("limits", "client-memory", {8, mebibyte}, defaultMemory);
+    if (clientMemory >= memory) {
+        reader.fail("limits", "client-memory", "has to be less than memory, which is " + std::to_string(memory));
+    }
+    settings.clientBytes = static_cast<std::size_t>(clientMemory * mebibyte);
+    settings.descriptors = static_cast<std::uint32_t>(reader.integer("limits", "descriptors", {256, mebibyte}, 8192));
+    decisions::session::deriveLimits(settings.clients, settings.clientBytes, settings.descriptors);
+    const auto readAhead = static_cast<std::int64_t>(settings.clients.readAheadBytes / 1024);
+    settings.clients.readAheadBytes
+        = static_cast<std::size_t>(reader.integer("limits", "connection-memory", {64, mebibyte}, readAhead)) * 1024;
+    settings.clients.maxStatementsAhead = static_cast<std::size_t>(
+        reader.integer("limits", "statements-ahead", {1, 1024}, static_cast<std::int64_t>(settings.clients.maxStatementsAhead)));
+    settings.clients.setupTimeout = reader.duration("limits", "setup-timeout", {100, 600'000}, settings.clients.setupTimeout);
+    settings.clients.messageTimeout = reader.duration("limits", "message-timeout", {100, 600'000}, settings.clients.messageTimeout);
+    settings.clients.answerTimeout = reader.duration("limits", "answer-timeout", {100, 600'000}, settings.clients.answerTimeout);
+}
+
 } // namespace
 
-decisions::Result<SessionSettings> parseSessionSettings(const std::string &text)
+decisions::Result<SessionSettings> parseSessionSettings(const std::string &text, const std::vector<std::string> &defaults)
 {
     IniReader reader(text);
+    for (const std::string &setting : defaults) {
+        reader.addDefault(setting);
+    }
     SessionSettings settings;
     reader.choice("interface", "kind", {"sessions"}, "sessions");
     settings.instance = decisions::InstanceId(reader.requiredText("instance", "name"));
@@ -86,6 +125,15 @@
     settings.grace = reader.duration("limits", "grace", {500, 600'000}, 6s);
     settings.configurationBound = reader.duration("limits", "configuration-bound", {500, 600'000}, 3s);
     settings.processorMilli = readProcessorMilli(reader);
+    readClientLimits(reader, settings);
+    settings.quotaBound.window
+        = std::chrono::milliseconds(static_cast<std::int64_t>(readQuotaNumber(reader, "window-seconds", 600, "5") * 1000));
+    if (settings.quotaBound.window < 1s) {
+        reader.fail("quotas", "window-seconds", "must be at least 1");
+    }
+    settings.quotaBound.tolerance = readQuotaNumber(reader, "tolerance", 10);
+    settings.quotaBound.slack = readQuotaNumber(reader, "slack", 1e6);
+    settings.isPaceEnabled = reader.choice("pace", "enabled", {"on", "off"}, "on") == "on";
     const std::string level = reader.choice("log", "level", {"debug", "info", "warning", "error"}, "info");
     settings.logLevel = level == "debug"     ? kernel::LogLevel::Debug
                         : level == "warning" ? kernel::LogLevel::Warning
--- a/sessions/test/fakeplatform.h
+++ b/sessions/test/fakeplatform.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanbeam/decisions/session/storeepoch.h"
 #include "rattanbeam/sessions/eventloop.h"
 #include "rattanbeam/sessions/ports.h"
 #include "rattanbeam/sessions/sessioninstance.h"
@@ -31,12 +32,33 @@
         records[{collection, name}] = {name, ++revision, false, value};
         notifyWatchers();
     }
+    /// Comes back from a copy, in a new epoch. Answers that are on their way arrive as those of the earlier epoch.
+    void restore(const std::map<std::pair<Collection, std::string>, Record> &copy, std::uint64_t copiedRevision)
+    {
+        ++epoch;
+        revision = firstOfStoreEpoch(epoch) + numberInStoreEpoch(copiedRevision);
+        records = copy;
+        for (auto &[key, record] : records) {
+            record.revision = firstOfStoreEpoch(epoch) + numberInStoreEpoch(record.revision);
+        }
+        m_watches.clear();
+    }
+    void onEpoch(std::function<void(std::uint64_t)> listener) override
+    {
+        m_epochListener = std::move(listener);
+    }
+    void advanceEpoch(std::uint64_t known) override
+    {
+        knownEpoch = std::max(knownEpoch, known);
+    }
     void list(Collection collection, ListCallback callback) override
     {
         post([this, collection, callback = std::move(callback)] {
             if (isUnavailable) {
                 callback(StoreOutcome::Unavailable, {}, 0);
             } else {
+                ++listsAnswered[collection];
+                showEpoch();
                 callback(StoreOutcome::Done, recordsAfter(collection, 0), revision);
             }
         });
@@ -51,6 +73,12 @@
             });
             return;
         }
+        if (storeEpochOf(afterRevision) < knownEpoch) {
+            post([callback = std::move(callback)] {
+                callback(StoreOutcome::HistoryLost, {}, 0);
+            });
+            return;
+        }
         m_watches.push_back({collection, afterRevision, std::move(callback)});
         notifyWatchers();
     }
@@ -60,7 +88,10 @@
             const auto found = records.find({collection, name});
             if (isUnavailable) {
                 callback(StoreOutcome::Unavailable, std::nullopt);
-            } else if (found == records.end()) {
+                return;
+            }
+            showEpoch();
+            if (found == records.end()) {
                 callback(StoreOutcome::Absent, std::nullopt);
             } else {
                 callback(StoreOutcome::Done, found->second);
@@ -78,7 +109,10 @@
             const std::uint64_t storedRevision = found == records.end() ? 0 : found->second.revision;
             if (isUnavailable) {
                 callback(StoreOutcome::Unavailable, std::nullopt);
-            } else if (storedRevision != expectedRevision) {
+                return;
+            }
+            showEpoch();
+            if (storedRevision != expectedRevision) {
                 callback(StoreOutcome::Conflict, found == records.end() ? std::nullopt : std::optional(found->second));
             } else {
                 put(collection, name, value);
@@ -96,6 +130,10 @@
 
     std::map<std::pair<Collection, std::string>, Record> records;
     std::uint64_t revision = 1;
+    std::uint64_t epoch = 0;
+    /// The latest epoch that the instance knows.
+    std::uint64_t knownEpoch = 0;
+    std::map<Collection, int> listsAnswered;
     bool isUnavailable = false;
     int watchesStarted = 0;
     /// Keeps the answers of watches in `heldWatchAnswers`, as if they were still on their way.
@@ -114,6 +152,13 @@
     {
         m_loop.post(std::move(function));
     }
+    /// What the header of an answer does.
+    void showEpoch()
+    {
+        if (std::exchange(knownEpoch, std::max(knownEpoch, epoch)) < epoch && m_epochListener) {
+            m_epochListener(epoch);
+        }
+    }
     std::vector<Record> recordsAfter(Collection collection, std::uint64_t afterRevision) const
     {
         std::vector<Record> found;
@@ -133,8 +178,9 @@
                 if (changedRecords.empty()) {
                     pendingWatches.push_back(std::move(watch));
                 } else if (isHoldingWatchAnswers) {
-                    heldWatchAnswers.emplace_back([callback = std::move(watch.callback), changedRecords, heldRevision = revision] {
-                        callback(StoreOutcome::Done, changedRecords, heldRevision);
+                    heldWatchAnswers.emplace_back([this, callback = std::move(watch.callback), changedRecords, heldRevision = revision] {
+                        const bool isLate = storeEpochOf(heldRevision) < knownEpoch;
+                        callback(isLate ? StoreOutcome::HistoryLost : StoreOutcome::Done, changedRecords, heldRevision);
                     });
                 } else {
                     watch.callback(StoreOutcome::Done, changedRecords, revision);
@@ -147,6 +193,7 @@
 
     EventLoop &m_loop;
     std::vector<Watch> m_watches;
+    std::function<void(std::uint64_t)> m_epochListener;
 };
 
 /// Members that answer each command with success and a log position, client statements after `executionTime`. Fences are kept, and
@@ -157,7 +204,7 @@
     explicit FakeMembers(EventLoop &loop) : m_loop(loop)
     {}
     std::unique_ptr<MemberLink>
-    connect(const MemberRecord &member, const WorkspaceName &, std::chrono::milliseconds, MemberLinkEvents events) override
+    connect(const MemberRecord &member, const WorkspaceName &workspace, std::chrono::milliseconds, MemberLinkEvents events) override
     {
         const auto sharedEvents = std::make_shared<MemberLinkEvents>(std::move(events));
         const bool isDown = downMembers.contains(member.id.text());
@@ -170,12 +217,15 @@
                 heldEvents->opened();
             }
         });
-        return std::make_unique<Link>(*this, member, sharedEvents);
+        return std::make_unique<Link>(*this, member, workspace, sharedEvents);
     }
 
     std::set<std::string> downMembers; ///< Members that refuse connections.
     std::vector<std::string> executedStatements; ///< Identifiers of the clients' statements, in order of arrival.
+    std::map<std::string, std::string> statementWorkspaces; ///< Workspace that the member was told for each client statement.
     decisions::Duration executionTime{};
+    /// Length of the row in each answer; there is none if it is 0.
+    std::size_t rowBytes = 0;
     /// Terms of the fences, and when each member was fenced first.
     std::map<std::string, decisions::Term> fenceTerms;
     std::map<std::string, TimePoint> fencedSince;
@@ -184,8 +234,8 @@
     class Link : public MemberLink
     {
     public:
-        Link(FakeMembers &members, const MemberRecord &member, std::shared_ptr<MemberLinkEvents> events)
-            : m_members(members), m_member(member), m_events(std::move(events))
+        Link(FakeMembers &members, const MemberRecord &member, WorkspaceName workspace, std::shared_ptr<MemberLinkEvents> events)
+            : m_members(members), m_member(member), m_workspace(std::move(workspace)), m_events(std::move(events))
         {}
         ~Link() override
         {
@@ -196,11 +246,15 @@
             const bool isClientStatement = command.kind == CommandKind::Statement && !command.statement.id.empty();
             if (isClientStatement) {
                 m_members.executedStatements.push_back(command.statement.id);
+                m_members.statementWorkspaces[command.statement.id] = m_workspace.text();
             }
             Answer answer
                 = Answer::success(command.statement.kind == StatementKind::Begin ? SessionPhase::InTransaction : SessionPhase::Idle);
             answer.position = decisions::LogPosition{1, 1};
             answer.signature = isClientStatement ? "signed" : "";
+            if (isClientStatement && m_members.rowBytes > 0) {
+                answer.rows.assign(1, std::string(m_members.rowBytes, 'x'));
+            }
             std::optional<ReplicationStatus> status;
             if (command.kind == CommandKind::Suspend) {
                 m_members.fenceTerms[m_member.id.text()] = command.term;
@@ -221,6 +275,7 @@
     private:
         FakeMembers &m_members;
         MemberRecord m_member;
+        WorkspaceName m_workspace;
         std::shared_ptr<MemberLinkEvents> m_events;
     };
 
@@ -276,8 +331,11 @@
 class InstanceFixture
 {
 public:
-    explicit InstanceFixture(bool isStoreAvailable = true)
+    explicit InstanceFixture(bool isStoreAvailable = true,
+                             const ClientLimits &clientLimits = {},
+                             const std::string &peerAddress = "127.0.0.1:0")
     {
+        settings.clients = clientLimits;
         auto fakeStore = std::make_unique<FakeStore>(loop);
         auto fakeMembers = std::make_unique<FakeMembers>(loop);
         store = fakeStore.get();
@@ -287,7 +345,7 @@
         settings.instance = decisions::InstanceId("a1");
         settings.domain = decisions::FailureDomain("a");
         settings.ip = "127.0.0.1";
-        settings.peerAddress = "127.0.0.1:0";
+        settings.peerAddress = peerAddress;
         settings.grace = 4s;
         settings.configurationBound = 3s;
         instance = std::make_unique<SessionInstance>(
--- a/standins/include/rattanbeam/standins/sessions/memberserver.h
+++ b/standins/include/rattanbeam/standins/sessions/memberserver.h
@@ -30,6 +30,8 @@
     std::string signature;
     std::string row;
     bool isWrite = false;
+    /// The caller that the member was told when the connection was set up.
+    std::string caller{};
 };
 
 /// Commits of client writes, told when the log took them.
@@ -48,6 +50,8 @@
     double lostAnswers = 0;
     double failures = 0;
     int slowness = 1;
+    /// Rows of reads are padded to this length.
+    std::size_t rowBytes = 0;
 };
 
 struct MemberServerEvents {
--- a/standins/src/sessions/httpserver.cpp
+++ b/standins/src/sessions/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "rattanbeam/standins/sessions/listening.h"
 
+#include <boost/algorithm/string/case_conv.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -29,6 +30,9 @@
         question.query[pair.substr(0, equals)] = equals == std::string::npos ? "" : pair.substr(equals + 1);
     }
     question.body = nlohmann::json::parse(request.body(), nullptr, false);
+    for (const auto &field : request.base()) {
+        question.headers[boost::algorithm::to_lower_copy(std::string(field.name_string()))] = std::string(field.value());
+    }
     return question;
 }
 
@@ -65,6 +69,9 @@
         m_response.version(11);
         m_response.result(answer.status);
         m_response.set(http::field::content_type, "application/json");
+        for (const auto &[name, value] : answer.headers) {
+            m_response.set(name, value);
+        }
         m_response.body() = answer.body.is_null() ? "" : answer.body.dump();
         m_response.keep_alive(m_request.keep_alive());
         m_response.prepare_payload();
--- a/systemtests/src/soak/soakfleet.cpp
+++ b/systemtests/src/soak/soakfleet.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <set>
@@ -58,6 +59,11 @@
     , m_nextFaultAt(m_startedAt + startTime + 1s)
 {
     std::filesystem::create_directories(m_options.directory);
+    for (int i = 0; i < m_options.workspaces; ++i) {
+        for (const char *key : {"a", "b"}) {
+            m_world.keys.push_back({"key-" + std::to_string(i) + key, "w" + std::to_string(i)});
+        }
+    }
     for (int i = 1; i <= 3; ++i) {
         const std::string id = "m-" + std::to_string(i);
         Member &member = m_members[id];
@@ -74,6 +80,7 @@
                                                                                                   m_auditor.committed(commit);
                                                                                               }});
     }
+    m_store.setEra(1);
     putConfiguration();
     registerMembers();
     for (const char *name : {"a-1", "a-2", "b-1", "b-2", "c-1", "c-2"}) {
@@ -133,6 +140,12 @@
 }
 
 void SoakFleet::putConfiguration()
+{
+    m_version += static_cast<std::uint64_t>(pick(1, 5));
+    writeConfiguration();
+}
+
+void SoakFleet::writeConfiguration()
 {
     nlohmann::json list = nlohmann::json::array();
     for (const SoakRoute &route : m_world.routes) {
@@ -145,12 +158,16 @@
                         {"maxStalenessMs", route.stalenessLimit.count()}});
     }
     m_version += static_cast<std::uint64_t>(pick(1, 5));
-    m_store.put("config",
-                "main",
-                {{"version", m_version},
-                 {"routes", list},
-                 {"services", {{{"name", service}, {"maxConns", 16}}}},
-                 {"limits", {{"txIdleMs", 3000}}}});
+    nlohmann::json configuration = {
+        {"version", m_version}, {"routes", list}, {"services", {{{"name", service}, {"maxConns", 16}}}}, {"limits", {{"txIdleMs", 3000}}}};
+    for (const SoakKey &key : m_world.keys) {
+        nlohmann::json &workspaces = configuration["tenants"];
+        if (workspaces.empty() || workspaces.back()["name"] != key.workspace) {
+            workspaces.push_back({{"name", key.workspace}, {"apiKeys", nlohmann::json::array()}});
+        }
+        workspaces.back()["apiKeys"].push_back(key.key);
+    }
+    m_store.put("config", "main", configuration);
 }
 
 /// Members write what they are when it changes; the entry of a silent one lapses.
@@ -187,6 +204,12 @@
         answer({503, nullptr});
         return;
     }
+    const auto token = question.headers.find("fence-token");
+    const std::uint64_t number = token == question.headers.end() ? 0 : std::strtoull(token->second.c_str(), nullptr, 10);
+    if (number < m_highestToken) {
+        m_findings.push_back("rule=TOKEN order=" + std::to_string(number) + " follows=" + std::to_string(m_highestToken));
+    }
+    m_highestToken = std::max(m_highestToken, number);
     const bool isDone = question.body.is_object() && m_group.promote(question.body.value("id", ""), Clock::now());
     note("promotion id=" + question.body.value("id", "") + " accepted=" + (isDone ? "true" : "false"));
     answer({isDone ? 200U : 409U, nullptr});
@@ -195,6 +218,7 @@
 void SoakFleet::tick()
 {
     m_group.advance(Clock::now());
+    keepCopies();
     registerMembers();
     keepInstances();
     const auto due = std::partition(m_undo.begin(), m_undo.end(), [](const auto &entry) {
@@ -283,6 +307,7 @@
     runFor(1s);
     m_auditor.finish();
     result.findings = m_auditor.findings();
+    result.findings.insert(result.findings.end(), m_findings.begin(), m_findings.end());
     result.counts = m_world.counts;
     result.acknowledged = m_auditor.acknowledgedCommits();
     result.lost = m_auditor.lostCommits();
