--- a/decisions/test/session/quotashare_test.cpp
+++ b/decisions/test/session/quotashare_test.cpp
@@ -264,6 +264,46 @@
     CHECK(third.grants.front().tokens == 3);
 }
 
+// Guards against seconds without service after a start of the whole fleet, and against a share that is in force twice after a restart.
+TEST_CASE("A restarted instance delegates its share as soon as no pool counts it any more", "[quota]")
+{
+    const TimePoint start{1h};
+    const InstanceId pool("pool");
+    const bool isShareHeld = GENERATE(false, true);
+    QuotaShare home(InstanceId("home"), platformBound, start);
+    home.setLimits({{small, {10, 10}}}, start);
+    home.setFleet({pool}, 2, true, start);
+    home.tick(start);
+    const std::vector<QuotaMessage> probes = home.takeMessages(start);
+    REQUIRE(probes.size() == 1);
+    home.replyArrived(pool, {probes.front().request.number, 1, isShareHeld, {}}, start + 1ms);
+    bool hasDelegated = false;
+    for (TimePoint now = start + 2ms; now < start + 1s; now += 10ms) {
+        home.tick(now);
+        for (const QuotaMessage &message : home.takeMessages(now)) {
+            hasDelegated = hasDelegated || message.request.delegates;
+            home.replyArrived(pool, {message.request.number, 2, isShareHeld, {}}, now + 1ms);
+        }
+    }
+    CHECK(hasDelegated != isShareHeld);
+}
+
+// Guards against a request of an instance's earlier run that arrives after its present run was told that the share is free.
+TEST_CASE("A pool that has denied holding a share ignores older requests to delegate it", "[quota]")
+{
+    const TimePoint start{1h};
+    const InstanceId home("home");
+    QuotaPool pool(platformBound, start);
+    pool.setInstances(2, start);
+    const QuotaReply toFormerRun = pool.handleRequest(home, {1, 0, false, 2, {}}, start + 1s);
+    const QuotaReply toPresentRun = pool.handleRequest(home, {7, 0, false, 2, {}}, start + 1100ms);
+    REQUIRE_FALSE(toPresentRun.holdsShare);
+    pool.handleRequest(home, {2, toFormerRun.stamp, true, 2, {}}, start + 1110ms);
+    CHECK(pool.delegations() == 0);
+    pool.handleRequest(home, {8, toPresentRun.stamp, true, 2, {}}, start + 1120ms);
+    CHECK(pool.delegations() == 1);
+}
+
 // Guards against tokens that are spent after their pool has stopped counting them.
 TEST_CASE("Tokens are not spent later than 250 ms after they were asked for", "[quota]")
 {
