A pool tells the runs of an instance apart

The reply to each request renewed the stamp before which delegations are ignored, so that a delegation could be ignored again and again while requests follow each other quickly. Test: "A pool that has denied holding a share ignores older requests to delegate it", last check, failed before.

--- a/decisions/include/rattanbeam/decisions/session/quotamessages.h
+++ b/decisions/include/rattanbeam/decisions/session/quotamessages.h
@@ -59,6 +59,8 @@
     /// Number of instances that the sender knows.
     std::uint32_t instances = 0;
     std::vector<QuotaAsk> asks;
+    /// Tells apart the runs of the sender.
+    std::uint64_t run = 0;
 };
 
 struct QuotaGrant {
@@ -72,7 +74,8 @@
     std::uint64_t number = 0;
     /// Increases with each reply of the pool.
     std::uint64_t stamp = 0;
-    /// Whether the pool counted a share of the sender when the request arrived. If not, it ignores delegations with older echoes.
+    /// Whether the pool counted a share of the sender when the request arrived. If not, it ignores delegations of other runs with older
+    /// echoes.
     bool holdsShare = false;
     std::vector<QuotaGrant> grants;
 };
--- a/decisions/include/rattanbeam/decisions/session/quotapool.h
+++ b/decisions/include/rattanbeam/decisions/session/quotapool.h
@@ -61,6 +61,11 @@
         std::uint32_t knownInstances = 0;
     };
 
+    struct Denial {
+        std::uint64_t run = 0;
+        std::uint64_t stamp = 0;
+    };
+
     double shareOfWhole() const;
     double capacity(const Bucket &bucket) const;
     /// Ends the delegations that have expired, each at its own time.
@@ -86,9 +91,9 @@
     /// No delegation expires before this time.
     TimePoint m_nextExpiry = TimePoint::max();
     std::uint64_t m_lastStamp = 0;
-    /// Stamps of replies that denied holding the instance's share. A request of its earlier run may arrive after such a reply, and must not
-    /// delegate the share again.
-    std::map<InstanceId, std::uint64_t> m_denials;
+    /// The run of an instance that was first told that its share is not held here, and the stamp of that reply. A request of an earlier run
+    /// may arrive after it, and must not delegate the share again.
+    std::map<InstanceId, Denial> m_denials;
 };
 
 } // namespace rattanbeam::decisions::session
--- a/decisions/include/rattanbeam/decisions/session/quotashare.h
+++ b/decisions/include/rattanbeam/decisions/session/quotashare.h
@@ -206,6 +206,7 @@
     std::map<InstanceId, Peer> m_peers;
     std::map<WorkspaceName, Account> m_accounts;
     std::size_t m_waiting = 0;
+    std::uint64_t m_run;
     std::uint64_t m_lastNumber;
     std::deque<PendingAsk> m_pendingAsks;
     TimePoint m_lastAskAt = distantPast;
--- a/decisions/src/session/quotapool.cpp
+++ b/decisions/src/session/quotapool.cpp
@@ -173,7 +173,7 @@
         return;
     }
     const auto denial = m_denials.find(sender);
-    if (denial != m_denials.end() && request.echo < denial->second) {
+    if (denial != m_denials.end() && denial->second.run != request.run && request.echo < denial->second.stamp) {
         return;
     }
     const TimePoint expiresAt = timeOf(request.echo) + delegationPeriod;
@@ -268,9 +268,12 @@
     if (!reply.holdsShare) {
         // Echoes older than the delegation period delegate nothing, so that older denials are not needed.
         std::erase_if(m_denials, [&](const auto &denial) {
-            return timeOf(denial.second) + delegationPeriod <= now;
+            return timeOf(denial.second.stamp) + delegationPeriod <= now;
         });
-        m_denials[sender] = m_lastStamp;
+        const auto [denial, isNew] = m_denials.try_emplace(sender, Denial{request.run, m_lastStamp});
+        if (!isNew && denial->second.run != request.run) {
+            denial->second = {request.run, m_lastStamp};
+        }
     }
     reply.number = request.number;
     reply.stamp = m_lastStamp;
--- a/decisions/src/session/quotashare.cpp
+++ b/decisions/src/session/quotashare.cpp
@@ -42,8 +42,9 @@
     , m_bound(bound)
     , m_startedAt(startedAt)
     , m_pool(bound, startedAt)
+    , m_run(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(startedAt.time_since_epoch()).count()))
     // A number of the previous run is never used again, so that a late reply to it is not taken for one to this run.
-    , m_lastNumber(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(startedAt.time_since_epoch()).count()))
+    , m_lastNumber(m_run)
 {}
 
 void QuotaShare::setLimits(const QuotaLimits &limits, TimePoint now)
@@ -337,6 +338,7 @@
 {
     QuotaRequest request;
     request.number = ++m_lastNumber;
+    request.run = m_run;
     request.instances = m_instances;
     const auto peer = m_peers.find(pool);
     request.echo = peer == m_peers.end() ? 0 : peer->second.stamp;
--- a/decisions/test/session/quotashare_test.cpp
+++ b/decisions/test/session/quotashare_test.cpp
@@ -295,12 +295,14 @@
     const InstanceId home("home");
     QuotaPool pool(platformBound, start);
     pool.setInstances(2, start);
-    const QuotaReply toFormerRun = pool.handleRequest(home, {1, 0, false, 2, {}}, start + 1s);
-    const QuotaReply toPresentRun = pool.handleRequest(home, {7, 0, false, 2, {}}, start + 1100ms);
+    const QuotaReply toFormerRun = pool.handleRequest(home, {1, 0, false, 2, {}, 1}, start + 1s);
+    const QuotaReply toPresentRun = pool.handleRequest(home, {7, 0, false, 2, {}, 2}, start + 1100ms);
     REQUIRE_FALSE(toPresentRun.holdsShare);
-    pool.handleRequest(home, {2, toFormerRun.stamp, true, 2, {}}, start + 1110ms);
+    pool.handleRequest(home, {2, toFormerRun.stamp, true, 2, {}, 1}, start + 1110ms);
     CHECK(pool.delegations() == 0);
-    pool.handleRequest(home, {8, toPresentRun.stamp, true, 2, {}}, start + 1120ms);
+    // Also if another request of the present run was answered meanwhile.
+    pool.handleRequest(home, {8, toPresentRun.stamp, false, 2, {}, 2}, start + 1120ms);
+    pool.handleRequest(home, {9, toPresentRun.stamp, true, 2, {}, 2}, start + 1130ms);
     CHECK(pool.delegations() == 1);
 }
 
--- a/sessions/src/internal/quotaservice.cpp
+++ b/sessions/src/internal/quotaservice.cpp
@@ -42,6 +42,7 @@
     message.set_delegates(request.delegates);
     message.set_instance(self.text());
     message.set_instances(request.instances);
+    message.set_run(request.run);
     for (const auto &ask : request.asks) {
         auto *added = message.add_asks();
         added->set_workspace(ask.workspace.text());
@@ -55,7 +56,7 @@
 
 QuotaRequest fromMessage(const link::v1::QuotaRequest &message)
 {
-    QuotaRequest request{message.number(), message.echo(), message.delegates(), message.instances(), {}};
+    QuotaRequest request{message.number(), message.echo(), message.delegates(), message.instances(), {}, message.run()};
     for (const auto &ask : message.asks()) {
         request.asks.push_back({WorkspaceName(ask.workspace()), ask.needed(), ask.ahead(), ask.held(), ask.returned()});
     }
