--- a/decisions/benchmark/decisions_benchmark.cpp
+++ b/decisions/benchmark/decisions_benchmark.cpp
@@ -284,6 +284,7 @@
     pool.setLimits(makeQuotaLimits(), now);
     pool.setInstances(90, now);
     std::vector<InstanceId> instances;
+    instances.reserve(90);
     for (int i = 0; i < 90; ++i) {
         instances.emplace_back("instance-" + std::to_string(i));
     }
--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -452,7 +452,6 @@
     std::string m_self;
     GroupHomeLimits m_limits;
     HomeEffects &m_effects;
-    bool m_isFirstHome = true;
     std::map<MemberId, Member> m_members;
     std::map<ConnectionNumber, MemberId> m_connectionOwners;
     ConnectionNumber m_lastConnectionNumber = 0;
@@ -468,8 +467,6 @@
     std::map<TransactionKey, Transaction> m_transactions;
     PreparedNames m_preparedNames;
     UsualAnswerTimes m_usualAnswerTimes;
-    /// Whether members have been known before: those that appear later have started.
-    bool m_hasKnownMembers = false;
     Watermark m_watermark;
     /// Highest term in any member's status, fences included.
     Term m_highestTerm = 0;
@@ -477,22 +474,15 @@
     /// The latest term record; none until the store has shown one.
     std::optional<TermRecord> m_term;
     std::uint64_t m_termRevision = 0;
-    /// Whether the store has been read, with or without a record.
-    bool m_isTermKnown = false;
     /// The store's latest known epoch, and the earliest time known at which an instance knew of it.
     std::uint64_t m_storeEpoch = 0;
     TimePoint m_storeEpochSeenAt = distantPast;
-    /// Whether the store has been read in this epoch, with or without a record.
-    bool m_isTermReadInEpoch = false;
-    /// Whether the record's generation was begun in this epoch. Until then the record may be missing or older than a later promotion.
-    bool m_isTermOfEpoch = false;
     /// The record of an earlier epoch that the store shows in this one.
     std::optional<TermRecord> m_restoredTerm;
     /// When the present revision of that record was first seen.
     TimePoint m_restoredSeenAt = distantPast;
     /// The primary that the latest record with a primary named.
     MemberId m_lastNamedPrimary;
-    bool m_isWritingTerm = false;
     TimePoint m_lastTermWriteAt = distantPast;
     TimePoint m_lastTermReadAt = distantPast;
     TimePoint m_witnessesCheckedAt = distantPast;
@@ -527,6 +517,16 @@
     TimePoint m_noCandidateSince = distantPast;
     /// Highest term in any member's status, fences excluded: the latest that is known to have been led.
     Term m_highestLedTerm = 0;
+    bool m_isFirstHome = true;
+    /// Whether members have been known before: those that appear later have started.
+    bool m_hasKnownMembers = false;
+    /// Whether the store has been read, with or without a record.
+    bool m_isTermKnown = false;
+    /// Whether the store has been read in this epoch, with or without a record.
+    bool m_isTermReadInEpoch = false;
+    /// Whether the record's generation was begun in this epoch. Until then the record may be missing or older than a later promotion.
+    bool m_isTermOfEpoch = false;
+    bool m_isWritingTerm = false;
 };
 
 } // namespace rattanbeam::decisions::session
--- a/decisions/test/session/quotashare_test.cpp
+++ b/decisions/test/session/quotashare_test.cpp
@@ -43,11 +43,12 @@
     /// Sends operations in random intervals between two times. `home` chooses the home for each.
     void send(const WorkspaceName &workspace, double ratePerSecond, Duration from, Duration until, const std::function<std::size_t()> &home)
     {
-        for (double at = std::chrono::duration<double>(from).count(); at < std::chrono::duration<double>(until).count();
-             at += -std::log(1 - world.uniform(0, 0.999999)) / ratePerSecond) {
+        double at = std::chrono::duration<double>(from).count();
+        while (at < std::chrono::duration<double>(until).count()) {
             world.at(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(at)), [this, workspace, home] {
                 world.operate(size - homes + home(), workspace);
             });
+            at += -std::log(1 - world.uniform(0, 0.999999)) / ratePerSecond;
         }
     }
     void send(const WorkspaceName &workspace, double ratePerSecond, Duration from, Duration until)
@@ -106,10 +107,12 @@
                 addFault(kinds[m_world.pick(kinds.size())]);
             });
         }
-        for (double at = 0; at < 30; at += m_world.uniform(0, 0.002)) {
+        double at = 0;
+        while (at < 30) {
             m_world.at(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(at)), [this] {
                 operate();
             });
+            at += m_world.uniform(0, 0.002);
         }
         m_world.runUntil(30s);
     }
