review: case 9, a replica without its log counts as heard

With synchronous replicas, a replica that starts again without its log is taken for one that shows what was acknowledged, and another one is promoted.

--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -112,6 +112,17 @@
     {
         m_isCut = isCut;
     }
+    /// Accepts connections again after a crash, at the same address.
+    void restart()
+    {
+        const tcp::endpoint endpoint(boost::asio::ip::address_v4::loopback(),
+                                     static_cast<unsigned short>(std::stoi(m_address.substr(m_address.rfind(':') + 1))));
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        m_acceptor.listen();
+        accept();
+    }
     /// Ends all connections and refuses new ones.
     void crash()
     {
@@ -419,7 +430,7 @@
                                        {"state", "ready"},
                                        {"coldLeftMs", 0},
                                        {"sequence", 1},
-                                       {"born", std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()},
+                                       {"born", unixMs()},
                                        {"dbRole", ""}};
         }
         reportRoles();
@@ -478,6 +489,26 @@
             m_removals.emplace_back(Clock::now() + 3600ms, id);
         });
     }
+    /// The crashed member starts again under its id and at its address, and holds nothing of before.
+    void restartMemberEmpty(const std::string &id)
+    {
+        m_record.line("member " + id + " starts again and holds nothing of before");
+        onThread([&] {
+            for (std::size_t i = 0; i < m_memberIds.size(); ++i) {
+                if (m_memberIds[i] == id) {
+                    m_members[i]->restart();
+                }
+            }
+            auto &state = m_group.member(id);
+            state = {};
+            state.term = 0;
+            std::erase_if(m_removals, [&](const auto &removal) {
+                return removal.second == id;
+            });
+            m_entries.at(id)["born"] = unixMs();
+            m_store.put("servers", id, m_entries.at(id));
+        });
+    }
     /// A silent partition of the member from all instances and from the store. Its entry is removed after three heartbeat intervals.
     void cutMemberOff(const std::string &id)
     {
@@ -603,6 +634,10 @@
     }
 
 private:
+    static std::int64_t unixMs()
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    }
     /// Members report a changed role at once. Entries of crashed members are removed when they are due.
     void reportRoles()
     {
