--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -64,7 +64,8 @@
                         const std::string id = name + '-' + std::to_string(++sent);
                         const std::string answer = client.ask("QUERY " + id + " WRITE item " + id);
                         const bool isSuccess = answer.rfind("DONE ", 0) == 0;
-                        record.line("client id=" + id + " WRITE is answered: " + (answer.empty() ? "nothing" : answer.substr(0, answer.find('\r'))));
+                        record.line("client id=" + id
+                                    + " WRITE is answered: " + (answer.empty() ? "nothing" : answer.substr(0, answer.find('\r'))));
                         if (isSuccess) {
                             const std::lock_guard lock(mutex);
                             acknowledged.insert(id);
@@ -119,8 +120,8 @@
             }
         }
     });
-    record.line("primary at the end: " + (leader.empty() ? "none" : leader) + ", acknowledged writes: " + std::to_string(acknowledged.size())
-                + ", of these not in the log of the latest primary: " + std::to_string(lost.size()));
+    record.line("primary at the end: " + (leader.empty() ? "none" : leader) + ", acknowledged writes: "
+                + std::to_string(acknowledged.size()) + ", of these not in the log of the latest primary: " + std::to_string(lost.size()));
     for (const std::string &id : lost) {
         record.line("acknowledged and lost: " + id);
     }
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -20,6 +20,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -31,7 +32,6 @@
 #include <optional>
 #include <sstream>
 #include <string>
-#include <fcntl.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -46,8 +46,8 @@
 using rattanbeam::standins::sessions::HttpAnswer;
 using rattanbeam::standins::sessions::HttpQuestion;
 using rattanbeam::standins::sessions::HttpServer;
-using rattanbeam::standins::sessions::ObjectStore;
 using rattanbeam::standins::sessions::LogEntry;
+using rattanbeam::standins::sessions::ObjectStore;
 using rattanbeam::standins::sessions::ReplicaGroup;
 using Clock = std::chrono::steady_clock;
 using namespace std::chrono_literals;
@@ -209,7 +209,8 @@
                 std::string position;
                 words >> position >> verb;
                 const auto dot = position.find('.');
-                const rattanbeam::decisions::LogPosition wanted{std::stoull(position.substr(0, dot)), std::stoull(position.substr(dot + 1))};
+                const rattanbeam::decisions::LogPosition wanted{std::stoull(position.substr(0, dot)),
+                                                                std::stoull(position.substr(dot + 1))};
                 if (member.m_group.member(member.m_id).position() < wanted) {
                     answer("ERROR LAGGING -\r\n" + ready());
                     return;
@@ -227,9 +228,9 @@
                 }
                 const auto received = state.received();
                 done("-",
-                     {std::string(state.isPrimary ? "primary " : "replica ") + std::to_string(state.term) + ' ' + std::to_string(received.term)
-                      + '.' + std::to_string(received.position) + ' ' + std::to_string(state.fencedAt) + ' ' + std::to_string(state.lag.count())
-                      + " 0 1"});
+                     {std::string(state.isPrimary ? "primary " : "replica ") + std::to_string(state.term) + ' '
+                      + std::to_string(received.term) + '.' + std::to_string(received.position) + ' ' + std::to_string(state.fencedAt) + ' '
+                      + std::to_string(state.lag.count()) + " 0 1"});
             } else if (verb == "RESET" || verb == "SET" || verb == "PREPARE" || verb == "DEALLOC") {
                 done();
             } else if (verb == "BEGIN" || verb == "ROLLBACK") {
@@ -275,10 +276,10 @@
         {
             int holders = 0;
             for (const auto &[id, state] : member.m_group.members()) {
-                const bool isHolder = id != member.m_id && state.isUp
-                                      && std::any_of(state.log.rbegin(), state.log.rend(), [&](const LogEntry &each) {
-                                             return each.isSameAs(entry);
-                                         });
+                const bool isHolder
+                    = id != member.m_id && state.isUp && std::any_of(state.log.rbegin(), state.log.rend(), [&](const LogEntry &each) {
+                          return each.isSameAs(entry);
+                      });
                 holders += isHolder ? 1 : 0;
             }
             if (holders >= member.m_hooks.syncReplicas) {
@@ -411,13 +412,12 @@
         , m_memberIds(memberIds)
         , m_group(memberIds)
         , m_store(m_context)
-        , m_promotions(m_context,
-                       [this](const HttpQuestion &question, const HttpServer::Answer &answer) {
-                           const std::string id = question.body.is_object() ? question.body.value("id", "") : "";
-                           const auto token = question.headers.find("fence-token");
-                           m_record.line("promotion id=" + id + " token=" + (token == question.headers.end() ? "-" : token->second));
-                           answer({m_group.promote(id, Clock::now()) ? 200U : 409U, nullptr});
-                       })
+        , m_promotions(m_context, [this](const HttpQuestion &question, const HttpServer::Answer &answer) {
+            const std::string id = question.body.is_object() ? question.body.value("id", "") : "";
+            const auto token = question.headers.find("fence-token");
+            m_record.line("promotion id=" + id + " token=" + (token == question.headers.end() ? "-" : token->second));
+            answer({m_group.promote(id, Clock::now()) ? 200U : 409U, nullptr});
+        })
     {
         std::filesystem::create_directories(m_folder);
         for (std::size_t i = 0; i < memberIds.size(); ++i) {
@@ -545,7 +545,8 @@
         // An address of its own, since the metrics have a fixed port.
         const std::string ip = "127.0." + std::to_string(2 + getpid() % 250) + '.' + std::to_string(m_fronts.size() + 1);
         const auto freePort = [&] {
-            const std::string loopback = rattanbeam::standins::sessions::addressOf(rattanbeam::standins::sessions::listenOnLoopback(m_context));
+            const std::string loopback
+                = rattanbeam::standins::sessions::addressOf(rattanbeam::standins::sessions::listenOnLoopback(m_context));
             return loopback.substr(loopback.rfind(':'));
         };
         m_fronts[options.name] = ip + freePort();
@@ -563,13 +564,11 @@
     {
         const std::string program = std::filesystem::absolute("target/daemon/rattanbeamd");
         const std::string setting = "RATTANBEAM_SETTINGS=" + m_files.at(name);
-        const std::string log = std::getenv("KEEP_LOGS") == nullptr ? "/dev/null" : std::string(std::getenv("KEEP_LOGS")) + '/' + name + ".log";
+        const std::string log
+            = std::getenv("KEEP_LOGS") == nullptr ? "/dev/null" : std::string(std::getenv("KEEP_LOGS")) + '/' + name + ".log";
         std::vector<std::string> words{program};
-        for (const char *value : {"limits.memory=260",
-                                  "limits.descriptors=4200",
-                                  "quotas.window-seconds=",
-                                  "quotas.tolerance=",
-                                  "quotas.slack="}) {
+        for (const char *value :
+             {"limits.memory=260", "limits.descriptors=4200", "quotas.window-seconds=", "quotas.tolerance=", "quotas.slack="}) {
             words.emplace_back("--default");
             words.emplace_back(value);
         }
