A replica that only the primary reaches is awaited in a change of primary

A replica had been cut off from the instances and the store, but went on receiving from the primary; later the other replica received nothing, and the primary crashed.

Cause: a member whose registration had disappeared was dropped from the home's members and from the term record as soon as the other replicas had received what the primary had at its departure. Later commits may still be acknowledged on its word. The rule for candidates then counted one possible holder of two (fenced=1 in candidate-chosen). lost_at_most is only logged, and cannot be a condition: it includes commits that nobody was told of. The log did not say when and why a possible holder was dropped; holder-departed, holder-forgotten and holders-awaited do now.

Fix: a member that has left stays a possible holder, in the home and in the term record (DepartedRuns), until its run is known to have ended (its address refuses connections or belongs to another member, or 60 s without a registration) and enough replicas have received what the primary had after that. Connections that a member closes before READY no longer count as refused, since that does not show an end. A home that started later awaits the witnesses that only the record names; it dropped them in the same way.

Tried and left: the home's own last acknowledged position as a condition (docs/design/17).

--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanbeam/decisions/rankqueue.h"
+#include "rattanbeam/decisions/session/departedruns.h"
 #include "rattanbeam/decisions/session/homemessages.h"
 #include "rattanbeam/decisions/session/memberconnections.h"
 #include "rattanbeam/decisions/session/memberpace.h"
@@ -48,7 +49,7 @@
     /// Attempts for one request, the first included.
     std::uint32_t maxAttempts = 4;
     /// Number of replicas that have received a commit before it is acknowledged. Above 0, a change of primary waits until the candidate
-    /// certainly holds each acknowledged commit.
+    /// certainly holds each acknowledged commit; see DepartedRuns for the limit of that wait.
     std::uint32_t synchronousReplicas = 0;
     /// Whether members that have started, recovered or failed are given their slots step by step; see MemberPace.
     bool isPaceEnabled = true;
@@ -168,6 +169,8 @@
         Health health = Health::Unknown;
         /// Whether it was reached before, so that reaching it again is a recovery.
         bool wasReached = false;
+        /// Whether its address has refused a connection, or belongs to another member, since it was last reached: its process has ended.
+        bool hasEnded = false;
         MemberPace pace;
         TimePoint paceStartedAt = distantPast;
         TimePoint lastHeardAt = distantPast;
@@ -291,10 +294,10 @@
         /// Last position that each member has received, as reported while fencing; the highest of its term for a member that
         /// already leads.
         std::map<MemberId, LogPosition> reportedPositions;
-        /// With synchronous replicas only: the members other than `oldPrimary` that may hold acknowledged commits, and the positions that
-        /// members have reported in answer to commands of the current round of fencing.
-        std::set<MemberId> possibleHolders;
+        /// With synchronous replicas only: the positions that members have reported in answer to commands of the current round of fencing.
         std::map<MemberId, LogPosition> heardPositions;
+        /// Whether the members that are awaited have been reported in the current round of fencing.
+        bool areHoldersReported = false;
         /// When the current round of fencing began.
         TimePoint fencingSince = distantPast;
         /// Whether no other home could still acknowledge commits when the current round of fencing began.
@@ -367,6 +370,7 @@
     void resetLargeIdleConnections(Member &member, TimePoint now);
     void maintainConnections(Member &member, TimePoint now);
     void removeMember(const MemberId &id, TimePoint now);
+    bool hasLapsed(const Member &member, TimePoint now) const;
     static bool isRetryable(const Work &work, StatementError error);
     void recordFailure(Member &member, TimePoint now);
     void rollBack(Member &member, ConnectionNumber number, TimePoint now);
@@ -399,8 +403,8 @@
     void fenceWitnesses(TimePoint now);
     bool haveLeasesEnded(TimePoint now) const;
     std::vector<MemberId> reachableReplicas() const;
-    std::vector<MemberId> updatedWitnesses(const TermRecord &record);
-    bool mayForgetWitness(const MemberId &witness);
+    std::vector<MemberId> updatedWitnesses(const TermRecord &record) const;
+    bool mayForgetWitness(const MemberId &witness) const;
     void setLeaseWitnesses();
     void sampleWatermark(const LogPosition &position, TimePoint sentAt, TimePoint now);
     std::set<MemberId> replicaIds() const;
@@ -432,7 +436,13 @@
     void awaitAcknowledgedCommits(bool hasCandidate, TimePoint now);
     void statusAnsweredWhileFencing(const Member &member, const ReplicationStatus &status, TimePoint sentAt, TimePoint now);
     void oldPrimaryAnswered(const Member &member, const ReplicationStatus &status, TimePoint now);
-    void notePossibleHolders(const TermRecord &record);
+    bool isLatestPrimary(const MemberId &member) const;
+    void memberDeparted(const Member &member, TimePoint now);
+    void addUnknownWitnesses(TimePoint now);
+    void updateDepartedRuns(TimePoint now);
+    std::set<MemberId> possibleHolders() const;
+    std::set<MemberId> unheardHolders() const;
+    void reportUnheardHolders(TimePoint now);
     bool coversAcknowledgedCommits(const LogPosition &position) const;
     Duration silenceTimeout(const Member &member) const;
     void chooseCandidate(TimePoint now);
@@ -505,8 +515,8 @@
     /// Witnesses that this home has taken out of the term record, or tried to, with the record's revision before that. They are no evidence
     /// unless a later revision names them.
     std::map<MemberId, std::uint64_t> m_droppedWitnesses;
-    /// With synchronous replicas only: witnesses that have left the group, and the position that the primary had reached by then.
-    std::map<MemberId, LogPosition> m_departedWitnesses;
+    /// With synchronous replicas only: members that have left the group.
+    DepartedRuns m_departedRuns;
     /// Since when the service has had neither a term record nor a member registered as primary.
     TimePoint m_withoutPrimarySince = distantPast;
     /// Since when the term record has named no primary; distantPast if it names one.
--- a/decisions/include/rattanbeam/decisions/session/homemessages.h
+++ b/decisions/include/rattanbeam/decisions/session/homemessages.h
@@ -84,11 +84,11 @@
 
 /// Why a connection to a member could not be opened, or ended.
 enum class ConnectFailure {
-    Refused, ///< Nothing listens at the address.
+    Refused, ///< Nothing listens at the address, so that the member's process has ended.
     TimedOut,
     WrongMember, ///< Another member answered at the address.
     Overloaded, ///< The member accepts no more connections.
-    Lost, ///< An open connection ended.
+    Lost, ///< The connection ended, or it could not be set up for another reason.
 };
 
 std::string_view connectFailureName(ConnectFailure failure);
--- a/decisions/src/session/grouphome.cpp
+++ b/decisions/src/session/grouphome.cpp
@@ -30,6 +30,9 @@
 void GroupHome::setLimits(const GroupHomeLimits &limits)
 {
     m_limits = limits;
+    if (limits.synchronousReplicas == 0) {
+        m_departedRuns = {};
+    }
 }
 
 bool GroupHome::needsPrimary(const HomeRequest &request) const
--- a/decisions/src/session/grouphomeanswers.cpp
+++ b/decisions/src/session/grouphomeanswers.cpp
@@ -38,6 +38,7 @@
         member->applied = std::max(member->applied, *answer.position);
         if (member->record.id == m_primary) {
             sampleWatermark(*answer.position, sentAt, now);
+            m_departedRuns.primaryAnswered(*answer.position, sentAt);
         }
     }
     const bool isMaintenance = command.kind != CommandKind::Statement && command.kind != CommandKind::Reset;
--- a/decisions/src/session/grouphomecandidates.cpp
+++ b/decisions/src/session/grouphomecandidates.cpp
@@ -42,7 +42,8 @@
     m_change.heardPositions.clear();
     m_change.fencingSince = now;
     m_change.isFencedAfterLeases = m_change.leaseHolders.empty() || m_change.leasesEndedAt != distantPast;
-    notePossibleHolders(*m_term);
+    m_change.areHoldersReported = false;
+    addUnknownWitnesses(now);
     setStage(ChangeStage::Fencing, now + fenceTimeout);
     m_change.finalPosition.reset();
     addPendingFences();
@@ -73,17 +74,6 @@
     }
 }
 
-/// Adds the members that may hold acknowledged commits: those that this home knows and those that the record names. Members that
-/// disappear during the change stay, since a commit may be held by them alone.
-void GroupHome::notePossibleHolders(const TermRecord &record)
-{
-    for (const auto &[id, member] : m_members) {
-        m_change.possibleHolders.insert(id);
-    }
-    m_change.possibleHolders.insert(record.witnesses.begin(), record.witnesses.end());
-    m_change.possibleHolders.erase(m_change.oldPrimary);
-}
-
 /// Whether a member that has received up to `position` certainly holds each acknowledged commit. Every acknowledged commit is held by at
 /// least `synchronousReplicas` of the possible holders, so that one of them has reported it if fewer than that have not reported.
 bool GroupHome::coversAcknowledgedCommits(const LogPosition &position) const
@@ -94,13 +84,10 @@
     if (m_change.isPlanned) {
         return false; // the replicas are not fenced, and the primary may go on until it has been demoted
     }
-    const auto unheard = std::count_if(m_change.possibleHolders.begin(), m_change.possibleHolders.end(), [&](const MemberId &id) {
-        return !m_change.heardPositions.contains(id);
-    });
     const bool isHighest = std::all_of(m_change.heardPositions.begin(), m_change.heardPositions.end(), [&](const auto &heard) {
         return position >= heard.second;
     });
-    return !m_change.heardPositions.empty() && static_cast<std::size_t>(unheard) < m_limits.synchronousReplicas && isHighest;
+    return !m_change.heardPositions.empty() && unheardHolders().size() < m_limits.synchronousReplicas && isHighest;
 }
 
 /// How long the member may owe an answer before it counts as silent.
@@ -276,6 +263,7 @@
     if (m_change.stage == ChangeStage::Fencing && now < m_change.fencingSince + acknowledgedCommitsTimeout) {
         m_change.stageDeadline = now + statusPollInterval;
         addUnheardFences();
+        reportUnheardHolders(now);
         return;
     }
     if (!hasCandidate && m_noCandidateSince == distantPast) {
--- a/decisions/src/session/grouphomeconnections.cpp
+++ b/decisions/src/session/grouphomeconnections.cpp
@@ -179,6 +179,7 @@
 
 void GroupHome::memberReached(Member &member, TimePoint now)
 {
+    member.hasEnded = false;
     if (member.health != Health::Up) {
         member.health = Health::Up;
         member.statusAskedAt = distantPast;
@@ -240,6 +241,7 @@
         }
         return;
     }
+    member->hasEnded = member->hasEnded || failure == ConnectFailure::Refused || failure == ConnectFailure::WrongMember;
     const bool isFirstOfSeveral = !isForWorkspaces || now >= member->nextConnectAt;
     if (isFirstOfSeveral) {
         member->backoff = std::clamp<Duration>(member->backoff * 2, minBackoff, maxBackoff);
--- a/decisions/src/session/grouphomefailover.cpp
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -159,8 +159,10 @@
     m_change.witnesses = record.witnesses;
     if (m_limits.synchronousReplicas > 0 && !m_change.oldPrimary.isEmpty()) {
         // A home that takes the change over has to know all members that may hold acknowledged commits.
-        notePossibleHolders(record);
-        record.witnesses.assign(m_change.possibleHolders.begin(), m_change.possibleHolders.end());
+        std::set<MemberId> holders = possibleHolders();
+        holders.insert(record.witnesses.begin(), record.witnesses.end());
+        holders.erase(m_change.oldPrimary);
+        record.witnesses.assign(holders.begin(), holders.end());
     }
     setStage(ChangeStage::WritingTerm, now + termWriteTimeout);
     m_lastTermWriteAt = now;
@@ -218,13 +220,17 @@
 void GroupHome::completeChange(TimePoint now)
 {
     m_primary = m_change.candidate;
+    if (m_primary != m_lastNamedPrimary) {
+        m_departedRuns.primaryChanged();
+    }
     m_lastNamedPrimary = m_primary;
     m_noCandidateSince = distantPast;
     m_leaderlessSince = distantPast;
     m_term->primary = m_primary;
     m_term->term = m_members.at(m_primary).status->term;
     m_term->homes = {m_self};
-    m_term->witnesses = reachableReplicas();
+    m_term->witnesses.clear();
+    m_term->witnesses = updatedWitnesses(*m_term);
     m_droppedWitnesses.clear();
     m_effects.report({"primary-changed",
                       false,
--- a/decisions/src/session/grouphomemembers.cpp
+++ b/decisions/src/session/grouphomemembers.cpp
@@ -65,6 +65,9 @@
                                {"leaving", record.isLeaving ? "true" : "false"},
                                {"incarnation", std::to_string(record.incarnation)}}});
         }
+        if (isNew || !member.isRegistered) {
+            m_departedRuns.registered({record.id, record.incarnation}, now);
+        }
         member.record = record;
         member.isRegistered = true;
         if (isNew && m_hasKnownMembers) {
@@ -176,11 +179,19 @@
     }
 }
 
+/// Whether the member has left: its registration has disappeared and it cannot be reached. A home without requests does not try to.
+bool GroupHome::hasLapsed(const Member &member, TimePoint now) const
+{
+    const Duration absence = member.isRegistered ? Duration{} : now - member.unregisteredAt;
+    const bool isUntried = m_limits.synchronousReplicas > 0 && member.health == Health::Unknown && member.record.id != m_primary;
+    return (member.health == Health::Down && absence > m_limits.registrationGrace) || (isUntried && absence > DepartedRuns::timeout);
+}
+
 void GroupHome::tick(TimePoint now)
 {
     std::vector<MemberId> lapsed;
     for (auto &[id, member] : m_members) {
-        if (!member.isRegistered && member.health == Health::Down && now - member.unregisteredAt > m_limits.registrationGrace) {
+        if (hasLapsed(member, now)) {
             lapsed.push_back(id);
             continue;
         }
@@ -210,8 +221,10 @@
         startQueuedWork(member, now);
     }
     for (const MemberId &id : lapsed) {
+        memberDeparted(m_members.at(id), now);
         removeMember(id, now);
     }
+    updateDepartedRuns(now);
     updateEvidenceState(now);
     endOverdueWork(now);
     retryStalledReads(now);
--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -237,45 +237,33 @@
     return replicas;
 }
 
-/// The witnesses that the record should name: those that it names, and the replicas that are reachable now. If no other home is listed, so
-/// that none relies on them, those that have left the group are left out.
-std::vector<MemberId> GroupHome::updatedWitnesses(const TermRecord &record)
+/// The witnesses that the record should name: those that it names, the replicas that are reachable now, and the members that have left but
+/// may hold acknowledged commits. If no other home is listed, so that none relies on them, others that have left the group are left out.
+std::vector<MemberId> GroupHome::updatedWitnesses(const TermRecord &record) const
 {
     const bool isOnlyHolder = std::all_of(record.homes.begin(), record.homes.end(), [&](const std::string &home) {
         return instanceNameOf(home) == instanceNameOf(m_self);
     });
     std::vector<MemberId> witnesses = record.witnesses;
-    std::erase_if(m_departedWitnesses, [&](const auto &departed) {
-        return m_members.contains(departed.first);
-    });
     std::erase_if(witnesses, [&](const MemberId &witness) {
         return isOnlyHolder && !m_members.contains(witness) && mayForgetWitness(witness);
     });
-    for (const MemberId &replica : reachableReplicas()) {
-        if (std::find(witnesses.begin(), witnesses.end(), replica) == witnesses.end()) {
-            witnesses.push_back(replica);
+    std::vector<MemberId> added = reachableReplicas();
+    for (const MemberRun &run : m_departedRuns.awaited()) {
+        added.push_back(run.member);
+    }
+    for (const MemberId &member : added) {
+        if (member != record.primary && std::find(witnesses.begin(), witnesses.end(), member) == witnesses.end()) {
+            witnesses.push_back(member);
         }
     }
     return witnesses;
 }
 
-/// Whether a change of primary need not wait for a witness that has left the group. With synchronous replicas, it may be the only one that
-/// holds an acknowledged commit until enough of the remaining replicas have received what the primary had when it left.
-bool GroupHome::mayForgetWitness(const MemberId &witness)
+/// Whether a change of primary need not wait for a witness that has left the group.
+bool GroupHome::mayForgetWitness(const MemberId &witness) const
 {
-    if (m_limits.synchronousReplicas == 0) {
-        return true;
-    }
-    const auto primary = m_members.find(m_primary);
-    if (primary == m_members.end() || primary->second.applied == LogPosition{}) {
-        return false;
-    }
-    const LogPosition position = m_departedWitnesses.try_emplace(witness, primary->second.applied).first->second;
-    const std::vector<MemberId> replicas = reachableReplicas();
-    const auto holders = std::count_if(replicas.begin(), replicas.end(), [&](const MemberId &replica) {
-        return m_members.at(replica).status->received >= position;
-    });
-    return static_cast<std::size_t>(holders) >= m_limits.synchronousReplicas;
+    return m_limits.synchronousReplicas == 0 || (m_departedRuns.contains(witness) && !m_departedRuns.isAwaited(witness));
 }
 
 void GroupHome::setLeaseWitnesses()
@@ -383,7 +371,6 @@
                        {"homes", std::to_string(record.homes.size())}}});
     if (!m_term || m_term->generation != record.generation) {
         m_droppedWitnesses.clear();
-        m_departedWitnesses.clear();
     }
     if (!m_term) {
         m_redirectUntil = distantPast; // the store has the first record, which this home could not write
@@ -391,6 +378,9 @@
     m_term = record;
     m_primary = record.primary;
     if (!m_primary.isEmpty()) {
+        if (m_primary != m_lastNamedPrimary) {
+            m_departedRuns.primaryChanged();
+        }
         m_lastNamedPrimary = m_primary;
         m_leaderlessSince = distantPast;
     } else if (m_leaderlessSince == distantPast) {
--- a/decisions/test/session/fakegroup.h
+++ b/decisions/test/session/fakegroup.h
@@ -98,12 +98,14 @@
             home.tick(now);
         }
     }
-    /// Opens all connections that are being established, except those to members that are down, which fail.
+    /// Opens all connections that are being established, except those to members that are down or unreachable, which fail.
     void finishConnecting()
     {
         for (const ConnectionNumber connection : std::exchange(openingConnections, {})) {
             if (downMembers.contains(connectionMembers.at(connection))) {
                 home.connectionFailed(connection, ConnectFailure::Refused, now);
+            } else if (unreachableMembers.contains(connectionMembers.at(connection))) {
+                home.connectionFailed(connection, ConnectFailure::TimedOut, now);
             } else {
                 home.connectionOpened(connection, now);
             }
@@ -257,6 +259,7 @@
     std::vector<std::string> yieldRequests;
     std::vector<std::string> events;
     std::set<MemberId> downMembers;
+    std::set<MemberId> unreachableMembers;
     std::map<MemberId, LogPosition> logPositions;
     std::map<MemberId, ReplicationStatus> statuses;
     int termReads = 0;
--- a/decisions/test/session/grouphomefailover_test.cpp
+++ b/decisions/test/session/grouphomefailover_test.cpp
@@ -524,6 +524,17 @@
 namespace
 {
 
+/// Sends a write every 1.5 s.
+void runUnderLoad(FakeGroup &group, Duration time, const std::set<MemberId> &silent = {})
+{
+    for (Duration elapsed{}; elapsed < time; elapsed += 1500ms) {
+        group.home.request(group.writeRequest("w"), group.now);
+        runGroup(group, 1500ms, silent, [] {
+            return false;
+        });
+    }
+}
+
 const MemberId incomplete("m2");
 const MemberId complete("m3");
 
@@ -547,12 +558,29 @@
         home.peersAnswered(MemberId("m1"), 0, 2, now);
         completeTermWrite();
     }
+    void runUnderLoad(Duration time)
+    {
+        test::runUnderLoad(*this, time, silentMembers);
+    }
+    /// The member receives commits, but neither answers this home nor accepts its connections.
+    void cutOff(const MemberId &id)
+    {
+        silentMembers.insert(id);
+        unreachableMembers.insert(id);
+    }
+    void reconnect(const MemberId &id)
+    {
+        silentMembers.erase(id);
+        unreachableMembers.erase(id);
+    }
     bool runUntilOrdered(Duration time, const std::set<MemberId> &silent)
     {
         return runGroup(*this, time, silent, [&] {
             return !promotionOrders.empty();
         });
     }
+
+    std::set<MemberId> silentMembers;
 };
 
 } // namespace
@@ -647,24 +675,54 @@
     SynchronousGroup group(1);
     crashMember(group, "m3");
     group.home.membersChanged({FakeGroup::member("m1", true), FakeGroup::member("m2", false)}, group.now);
-    for (int i = 0; i < 5; ++i) {
-        group.home.request(group.writeRequest("w"), group.now);
-        runGroup(group, 1500ms, {}, [] {
-            return false;
-        });
-    }
+    group.runUnderLoad(7500ms);
     const bool isCaughtUp = GENERATE(false, true);
     if (isCaughtUp) {
         group.logPositions[incomplete] = {1, 20};
     }
-    for (int i = 0; i < 5; ++i) {
-        group.home.request(group.writeRequest("w"), group.now);
-        runGroup(group, 1500ms, {}, [] {
-            return false;
-        });
-    }
+    group.runUnderLoad(7500ms);
     group.losePrimary();
     CHECK(group.runUntilOrdered(5s, {}) == isCaughtUp);
 }
 
+// Guards against the loss of commits that a replica received after it was out of this home's sight: it was forgotten as soon as the other
+// replica had received what the primary had when it disappeared.
+TEST_CASE("A replica that cannot be reached is awaited although another one had caught up when it disappeared", "[grouphomefailover]")
+{
+    SynchronousGroup group(1);
+    group.cutOff(complete);
+    group.home.membersChanged({FakeGroup::member("m1", true), FakeGroup::member("m2", false)}, group.now);
+    group.logPositions[incomplete] = {1, 20};
+    group.runUnderLoad(9s);
+    group.logPositions[MemberId("m1")] = {1, 30};
+    group.logPositions[complete] = {1, 30};
+    group.losePrimary();
+    REQUIRE_FALSE(group.runUntilOrdered(12s, group.silentMembers));
+    group.reconnect(complete);
+    group.home.membersChanged({FakeGroup::member("m2", false), FakeGroup::member("m3", false)}, group.now);
+    REQUIRE(group.runUntilOrdered(10s, {}));
+    CHECK(group.promotionOrders.back().first == complete);
+}
+
+// Guards against the same loss by a home that has started since: only the term record tells it of the replica.
+TEST_CASE("A replica that only the term record names is awaited", "[grouphomefailover]")
+{
+    FakeGroup group({FakeGroup::member("m1", true), FakeGroup::member("m2", false)});
+    GroupHomeLimits limits;
+    limits.synchronousReplicas = 1;
+    group.home.setLimits(limits);
+    group.statuses[MemberId("m1")].isPrimary = true;
+    group.logPositions = {{MemberId("m1"), {1, 20}}, {MemberId("m2"), {1, 20}}};
+    group.storedTerm = TermRecord{ServiceName("orders"), 1, MemberId("m1"), {"a1/0"}, 1, {MemberId("m2"), MemberId("m3")}};
+    group.home.termSeen(group.storedTerm, group.storeRevision(), group.now, group.now);
+    runUnderLoad(group, 9s);
+    CHECK(group.storedTerm->witnesses == std::vector{MemberId("m2"), MemberId("m3")});
+    crashMember(group, "m1");
+    group.home.peersAnswered(MemberId("m1"), 0, 2, group.now);
+    group.completeTermWrite();
+    CHECK_FALSE(runGroup(group, 12s, {}, [&] {
+        return !group.promotionOrders.empty();
+    }));
+}
+
 } // namespace rattanbeam::decisions::session::test
