A change of primary gives up members that have been gone for a minute

A group with synchronous replicas had no primary for good if the only holder of acknowledged commits, and the old primary, never came back: all writes and transactions were refused with no-primary until an operator lowered the number of synchronous replicas. Found by reading; the new test fails without the call of giveUpDepartedRuns (no promotion within 75 s).

Cause: a change that could not show that its candidate holds each acknowledged commit was abandoned and begun again without end.

Fix: a member without a registration is awaited for 60 s while there is no primary, and then given up (holder-forgotten cause=given-up).

--- a/decisions/include/rattanbeam/decisions/session/departedruns.h
+++ b/decisions/include/rattanbeam/decisions/session/departedruns.h
@@ -42,12 +42,13 @@
 class DepartedRuns
 {
 public:
-    /// A run that has been unregistered for this long counts as ended.
+    /// A run that has been unregistered for this long counts as ended. Without a primary, it is awaited for at most this long.
     static constexpr Duration timeout = std::chrono::seconds(60);
 
     enum class Cause {
         ReceivedElsewhere, ///< Enough other replicas have received what it may hold.
         TimedOut, ///< The primary's position has not become known in time, since this home does not use the primary.
+        GivenUp, ///< There is no primary, and the run has not come back in time. Commits that it alone held are lost.
     };
     struct Forgotten {
         MemberRun run;
@@ -72,6 +73,10 @@
     std::vector<Forgotten>
     update(const std::vector<LogPosition> &received, std::size_t synchronousReplicas, bool hasPrimary, TimePoint now);
 
+    /// Forgets the run if there has been no primary since `leaderlessSince`, and the timeout has passed since then and since the run left.
+    /// Returns whether it did.
+    bool giveUp(const MemberRun &run, TimePoint leaderlessSince, TimePoint now);
+
     /// The runs that may hold acknowledged commits.
     std::vector<MemberRun> awaited() const;
     bool isAwaited(const MemberId &member) const;
--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -440,6 +440,8 @@
     void memberDeparted(const Member &member, TimePoint now);
     void addUnknownWitnesses(TimePoint now);
     void updateDepartedRuns(TimePoint now);
+    void giveUpDepartedRuns(TimePoint now);
+    void reportForgotten(const std::vector<DepartedRuns::Forgotten> &runs);
     std::set<MemberId> possibleHolders() const;
     std::set<MemberId> unheardHolders() const;
     void reportUnheardHolders(TimePoint now);
--- a/decisions/src/session/departedruns.cpp
+++ b/decisions/src/session/departedruns.cpp
@@ -17,6 +17,8 @@
         return "received-elsewhere";
     case DepartedRuns::Cause::TimedOut:
         return "timed-out";
+    case DepartedRuns::Cause::GivenUp:
+        return "given-up";
     }
     return "unknown";
 }
@@ -92,6 +94,16 @@
     return forgotten;
 }
 
+bool DepartedRuns::giveUp(const MemberRun &run, TimePoint leaderlessSince, TimePoint now)
+{
+    const auto found = m_departures.find(run);
+    if (found == m_departures.end() || found->second.isForgotten || now - std::max(found->second.since, leaderlessSince) < timeout) {
+        return false;
+    }
+    found->second.isForgotten = true;
+    return true;
+}
+
 std::vector<MemberRun> DepartedRuns::awaited() const
 {
     std::vector<MemberRun> runs;
--- a/decisions/src/session/grouphomecandidates.cpp
+++ b/decisions/src/session/grouphomecandidates.cpp
@@ -220,6 +220,7 @@
         return;
     }
     const auto best = mostAdvancedCandidate(now);
+    giveUpDepartedRuns(now);
     const bool isSynchronous = m_limits.synchronousReplicas > 0;
     if (isSynchronous && (!best || !coversAcknowledgedCommits(m_change.reportedPositions.at(*best)))) {
         awaitAcknowledgedCommits(best.has_value(), now);
--- a/decisions/src/session/grouphomeholders.cpp
+++ b/decisions/src/session/grouphomeholders.cpp
@@ -64,15 +64,39 @@
     }
     const auto primary = m_members.find(m_primary);
     const bool hasPrimary = m_change.stage == ChangeStage::None && primary != m_members.end() && primary->second.health != Health::Down;
-    for (const DepartedRuns::Forgotten &forgotten : m_departedRuns.update(received, m_limits.synchronousReplicas, hasPrimary, now)) {
+    reportForgotten(m_departedRuns.update(received, m_limits.synchronousReplicas, hasPrimary, now));
+    m_departedRuns.dropForgottenExcept(m_term ? m_term->witnesses : std::vector<MemberId>());
+}
+
+/// Without a primary, departed runs are awaited for a limited time: a group must not stay without one for good because the only holder of
+/// acknowledged commits is gone. The old primary has them too, and is awaited as long as it is registered and has not reported.
+void GroupHome::giveUpDepartedRuns(TimePoint now)
+{
+    const bool isOldPrimaryAwaited = std::any_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
+        return isLatestPrimary(entry.first) && entry.second.isRegistered && !m_change.heardPositions.contains(entry.first);
+    });
+    if (m_limits.synchronousReplicas == 0 || m_leaderlessSince == distantPast || isOldPrimaryAwaited) {
+        return;
+    }
+    std::vector<DepartedRuns::Forgotten> forgotten;
+    for (const MemberRun &run : m_departedRuns.awaited()) {
+        if (!isLatestPrimary(run.member) && m_departedRuns.giveUp(run, m_leaderlessSince, now)) {
+            forgotten.push_back({run, DepartedRuns::Cause::GivenUp});
+        }
+    }
+    reportForgotten(forgotten);
+}
+
+void GroupHome::reportForgotten(const std::vector<DepartedRuns::Forgotten> &runs)
+{
+    for (const DepartedRuns::Forgotten &forgotten : runs) {
         m_effects.report({"holder-forgotten",
-                          false,
+                          forgotten.cause == DepartedRuns::Cause::GivenUp,
                           {{"service", m_service.text()},
                            {"member", forgotten.run.member.text()},
                            {"incarnation", std::to_string(forgotten.run.incarnation)},
                            {"cause", std::string(departureCauseName(forgotten.cause))}}});
     }
-    m_departedRuns.dropForgottenExcept(m_term ? m_term->witnesses : std::vector<MemberId>());
 }
 
 /// The members other than the primary that may hold acknowledged commits. A member stays one after it has disappeared, since a commit may
--- a/decisions/test/session/departedruns_test.cpp
+++ b/decisions/test/session/departedruns_test.cpp
@@ -94,6 +94,22 @@
     }
 }
 
+// Guards against a group that stays without a primary for good.
+TEST_CASE("Without a primary, a run is given up after the timeout", "[departedruns]")
+{
+    DepartedRuns runs;
+    const MemberRun other{MemberId("m4"), 1};
+    runs.ended(firstRun, start);
+    runs.unregistered(other, start + 10s);
+    const TimePoint leaderlessSince = start + 5s;
+    CHECK_FALSE(runs.giveUp(firstRun, leaderlessSince, leaderlessSince + DepartedRuns::timeout - 1s));
+    CHECK(runs.giveUp(firstRun, leaderlessSince, leaderlessSince + DepartedRuns::timeout));
+    CHECK_FALSE(runs.giveUp(other, leaderlessSince, leaderlessSince + DepartedRuns::timeout));
+    CHECK(runs.awaited() == std::vector{other});
+    CHECK(runs.giveUp(other, leaderlessSince, start + 10s + DepartedRuns::timeout));
+    CHECK(runs.awaited().empty());
+}
+
 // Guards against unbounded memory: a member may start again any number of times.
 TEST_CASE("Of the runs of a member that have ended, only the last one is kept", "[departedruns]")
 {
--- a/decisions/test/session/grouphomefailover_test.cpp
+++ b/decisions/test/session/grouphomefailover_test.cpp
@@ -669,6 +669,45 @@
     }
 }
 
+// Guards against a group that stays without a primary for good.
+TEST_CASE("A group whose only holder of acknowledged commits is gone for good gets a primary after a limited wait", "[grouphomefailover]")
+{
+    SynchronousGroup group(1);
+    const bool hasCrashed = GENERATE(true, false);
+    if (hasCrashed) {
+        crashMember(group, "m3");
+    } else {
+        group.cutOff(complete);
+    }
+    group.losePrimary();
+    group.home.membersChanged({FakeGroup::member("m2", false)}, group.now);
+    CHECK_FALSE(group.runUntilOrdered(DepartedRuns::timeout, group.silentMembers));
+    REQUIRE(group.runUntilOrdered(15s, group.silentMembers));
+    CHECK(group.promotionOrders.back().first == incomplete);
+    CHECK(std::count(group.events.begin(), group.events.end(), "holder-forgotten") == 1);
+}
+
+// Guards against the loss of commits of a member that is only slow: a registration that is renewed shows that it runs.
+TEST_CASE("A registered replica is awaited beyond the limited wait", "[grouphomefailover]")
+{
+    SynchronousGroup group(1);
+    group.cutOff(complete);
+    group.losePrimary();
+    CHECK_FALSE(group.runUntilOrdered(2 * DepartedRuns::timeout, group.silentMembers));
+    group.reconnect(complete);
+    REQUIRE(group.runUntilOrdered(10s, {}));
+    CHECK(group.promotionOrders.back().first == complete);
+}
+
+TEST_CASE("A registered old primary is awaited beyond the limited wait", "[grouphomefailover]")
+{
+    SynchronousGroup group(1);
+    crashMember(group, "m3");
+    group.losePrimary();
+    group.home.membersChanged({FakeGroup::member("m1", true), FakeGroup::member("m2", false)}, group.now);
+    CHECK_FALSE(group.runUntilOrdered(2 * DepartedRuns::timeout, {}));
+}
+
 // Guards against a change that waits for a member that was taken out of the group long ago.
 TEST_CASE("A replica that left while the primary was up is not awaited once another one has caught up", "[grouphomefailover]")
 {
