What a member reports counts only for its present run

A replica that alone had received them crashed and started again with an empty log while the primary was being replaced.

Cause: the positions and fences that members report in a change of primary were kept by the member's name. The home knew that the replica ran under a new incarnation, and counted the report of the new run as its word about the commits of the earlier one.

Fix: a run that has ended stays a possible holder (DepartedRuns), apart from later runs of the member, until enough replicas have received what the primary had after its end, or it is given up. What a member has reported in a change is dropped when it starts again, and a report below an earlier one of the same term shows a lost log before the registration does.

Related paths with the same cause, mended with it: a candidate with an empty log was ordered to lead for the position of its earlier run, also without synchronous replicas; a fence confirmed by the earlier run counted for the witness; the position that an old primary must have kept was forgotten with its restart.

--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -389,6 +389,7 @@
     bool hasLostUnrecordedPrimary(TimePoint now) const;
     void ensureListedInTerm(TimePoint now);
     void adoptTerm(const TermRecord &record, TimePoint now);
+    void primaryNamed();
     void dropSupersededWork(TimePoint now);
     void renewEvidence(TimePoint now);
     void redirectWhileStoreFails(TimePoint now);
@@ -438,6 +439,10 @@
     void oldPrimaryAnswered(const Member &member, const ReplicationStatus &status, TimePoint now);
     bool isLatestPrimary(const MemberId &member) const;
     void memberDeparted(const Member &member, TimePoint now);
+    void runEnded(const Member &member, TimePoint now);
+    void restartedDuringChange(const MemberId &id, TimePoint now);
+    bool hasLostLog(const Member &member, const ReplicationStatus &status) const;
+    void reportDeparted(const MemberRun &run, bool hasEnded);
     void addUnknownWitnesses(TimePoint now);
     void updateDepartedRuns(TimePoint now);
     void giveUpDepartedRuns(TimePoint now);
@@ -499,6 +504,8 @@
     TimePoint m_lastTermReadAt = distantPast;
     TimePoint m_witnessesCheckedAt = distantPast;
     MemberId m_primary;
+    /// The highest position that answers of the latest primary have shown.
+    LogPosition m_primaryPosition;
     PrimaryLease m_lease;
     std::deque<UnconfirmedAnswer> m_unconfirmedAnswers;
     PrimaryChange m_change;
--- a/decisions/src/session/grouphomeanswers.cpp
+++ b/decisions/src/session/grouphomeanswers.cpp
@@ -38,6 +38,7 @@
         member->applied = std::max(member->applied, *answer.position);
         if (member->record.id == m_primary) {
             sampleWatermark(*answer.position, sentAt, now);
+            m_primaryPosition = std::max(m_primaryPosition, *answer.position);
             m_departedRuns.primaryAnswered(*answer.position, sentAt);
         }
     }
@@ -294,6 +295,9 @@
                            {"fenced_at", std::to_string(status.fenceTerm)},
                            {"lag_ms", std::to_string(status.lagMs)}}});
     }
+    if (hasLostLog(member, status)) {
+        runEnded(member, now);
+    }
     member.status = status;
     member.statusSentAt = confirmation.sentAt;
     m_highestLedTerm = std::max({m_highestLedTerm, status.term, status.received.term});
--- a/decisions/src/session/grouphomecandidates.cpp
+++ b/decisions/src/session/grouphomecandidates.cpp
@@ -106,7 +106,7 @@
     }
     const bool isSynchronous = m_limits.synchronousReplicas > 0;
     // A member that has lost its log reports less than it led, and shows nothing about the commits.
-    const bool isWholeLog = status.term >= m_change.oldPrimaryTerm && m_change.oldPrimaryTerm != 0 && status.received >= member.applied;
+    const bool isWholeLog = status.term >= m_change.oldPrimaryTerm && m_change.oldPrimaryTerm != 0 && status.received >= m_primaryPosition;
     if (isSynchronous && !isWholeLog) {
         return;
     }
@@ -233,9 +233,8 @@
     }
     const bool isSameCandidate = *best == m_change.candidate;
     m_change.candidate = *best;
-    const auto oldPrimary = m_members.find(m_change.oldPrimary);
     const LogPosition received = m_change.reportedPositions.at(*best);
-    const LogPosition oldPrimaryPosition = oldPrimary == m_members.end() ? LogPosition{} : oldPrimary->second.applied;
+    const LogPosition oldPrimaryPosition = m_change.oldPrimary.isEmpty() ? LogPosition{} : m_primaryPosition;
     m_effects.report(
         {"candidate-chosen",
          oldPrimaryPosition > received,
--- a/decisions/src/session/grouphomefailover.cpp
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -220,10 +220,7 @@
 void GroupHome::completeChange(TimePoint now)
 {
     m_primary = m_change.candidate;
-    if (m_primary != m_lastNamedPrimary) {
-        m_departedRuns.primaryChanged();
-    }
-    m_lastNamedPrimary = m_primary;
+    primaryNamed();
     m_noCandidateSince = distantPast;
     m_leaderlessSince = distantPast;
     m_term->primary = m_primary;
--- a/decisions/src/session/grouphomeholders.cpp
+++ b/decisions/src/session/grouphomeholders.cpp
@@ -25,18 +25,60 @@
     if (m_limits.synchronousReplicas == 0) {
         return;
     }
-    const MemberRun run{member.record.id, member.record.incarnation};
     if (member.hasEnded) {
-        m_departedRuns.ended(run, now);
-    } else {
-        m_departedRuns.unregistered(run, member.unregisteredAt);
+        runEnded(member, now);
+        return;
     }
+    const MemberRun run{member.record.id, member.record.incarnation};
+    m_departedRuns.unregistered(run, member.unregisteredAt);
+    reportDeparted(run, false);
+}
+
+/// The member's present run has ended, or has lost its log.
+void GroupHome::runEnded(const Member &member, TimePoint now)
+{
+    if (m_limits.synchronousReplicas == 0) {
+        return;
+    }
+    const MemberRun run{member.record.id, member.record.incarnation};
+    m_departedRuns.ended(run, now);
+    reportDeparted(run, true);
+}
+
+void GroupHome::reportDeparted(const MemberRun &run, bool hasEnded)
+{
     m_effects.report({"holder-departed",
                       false,
                       {{"service", m_service.text()},
                        {"member", run.member.text()},
                        {"incarnation", std::to_string(run.incarnation)},
-                       {"ended", member.hasEnded ? "true" : "false"}}});
+                       {"ended", hasEnded ? "true" : "false"}}});
+}
+
+/// Whether the status is one of a later process than the member's last one: within a run the term never goes back, and within a term a
+/// replica loses nothing that it has received.
+bool GroupHome::hasLostLog(const Member &member, const ReplicationStatus &status) const
+{
+    return member.status && !isLatestPrimary(member.record.id)
+           && (status.term < member.status->term || (status.term == member.status->term && status.received < member.status->received));
+}
+
+/// The member has started again. What its earlier run reported in this change of primary says nothing about the present one, which may have
+/// neither its log nor its fence.
+void GroupHome::restartedDuringChange(const MemberId &id, TimePoint now)
+{
+    m_change.reportedPositions.erase(id);
+    m_change.heardPositions.erase(id);
+    m_change.fencedSince.erase(id);
+    if (m_change.stage == ChangeStage::Fencing && !m_change.isPlanned && id != m_change.oldPrimary) {
+        m_change.pendingFences.insert(id);
+    } else if (id != m_change.candidate) {
+        return;
+    } else if (m_change.stage == ChangeStage::AwaitingLeases) {
+        beginFencing(now);
+    } else if (m_change.stage == ChangeStage::Ordering || m_change.stage == ChangeStage::AwaitingLead) {
+        abandonChange("candidate-restarted", now);
+    }
 }
 
 /// Witnesses of the term record that this home has never seen may have been registered before it started.
--- a/decisions/src/session/grouphomemembers.cpp
+++ b/decisions/src/session/grouphomemembers.cpp
@@ -50,6 +50,9 @@
             = found != m_members.end()
               && (found->second.record.incarnation != record.incarnation || found->second.record.address != record.address);
         if (isRestarted) {
+            if (found->second.record.incarnation != record.incarnation) {
+                runEnded(found->second, now);
+            }
             removeMember(record.id, now);
         }
         auto [at, isNew] = m_members.try_emplace(record.id, queueLimits(record));
@@ -70,6 +73,9 @@
         }
         member.record = record;
         member.isRegistered = true;
+        if (isRestarted) {
+            restartedDuringChange(record.id, now);
+        }
         if (isNew && m_hasKnownMembers) {
             startPace(member, "started", now);
         }
--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -378,10 +378,7 @@
     m_term = record;
     m_primary = record.primary;
     if (!m_primary.isEmpty()) {
-        if (m_primary != m_lastNamedPrimary) {
-            m_departedRuns.primaryChanged();
-        }
-        m_lastNamedPrimary = m_primary;
+        primaryNamed();
         m_leaderlessSince = distantPast;
     } else if (m_leaderlessSince == distantPast) {
         m_leaderlessSince = now;
@@ -395,6 +392,16 @@
     }
 }
 
+/// The term record names m_primary.
+void GroupHome::primaryNamed()
+{
+    if (m_primary != m_lastNamedPrimary) {
+        m_departedRuns.primaryChanged();
+        m_primaryPosition = {};
+    }
+    m_lastNamedPrimary = m_primary;
+}
+
 /// Ends or retries work sent to the primary of an earlier generation, since its answers can no longer be confirmed.
 void GroupHome::dropSupersededWork(TimePoint now)
 {
--- a/decisions/test/session/grouphomefailover_test.cpp
+++ b/decisions/test/session/grouphomefailover_test.cpp
@@ -669,6 +669,112 @@
     }
 }
 
+namespace
+{
+
+MemberRecord laterRun(const std::string &id)
+{
+    MemberRecord record = FakeGroup::member(id, false);
+    record.incarnation = 2;
+    return record;
+}
+
+} // namespace
+
+// Guards against the loss of commits that only the earlier run of a member had: the report of the run without a log counted for it.
+TEST_CASE("A replica that started again without its log has not reported for its earlier run", "[grouphomefailover]")
+{
+    SynchronousGroup group(1);
+    const bool isBeforePrimaryFails = GENERATE(true, false);
+    crashMember(group, "m3");
+    if (!isBeforePrimaryFails) {
+        group.losePrimary();
+        REQUIRE_FALSE(group.runUntilOrdered(500ms, {}));
+    }
+    group.downMembers.erase(complete);
+    group.logPositions[complete] = {0, 0};
+    group.statuses[complete] = {};
+    group.home.membersChanged({FakeGroup::member("m1", true), FakeGroup::member("m2", false), laterRun("m3")}, group.now);
+    group.finishConnecting();
+    if (isBeforePrimaryFails) {
+        group.losePrimary();
+    }
+    CHECK_FALSE(group.runUntilOrdered(20s, {}));
+    // The old primary comes back with its log.
+    group.downMembers.erase(MemberId("m1"));
+    REQUIRE(runGroup(group, 15s, {}, [&] {
+        return group.home.primary() == MemberId("m1") || !group.promotionOrders.empty();
+    }));
+    CHECK((group.promotionOrders.empty() || group.promotionOrders.back().first == MemberId("m1")));
+}
+
+// Guards against the same before the member's registration shows that it has started again.
+TEST_CASE("A replica that reports less than before has not reported for its earlier run", "[grouphomefailover]")
+{
+    SynchronousGroup group(1);
+    runUnderLoad(group, 1500ms); // the home has seen what m3 received
+    crashMember(group, "m3");
+    group.losePrimary();
+    group.downMembers.erase(complete);
+    group.logPositions[complete] = {1, 5};
+    group.statuses[complete] = {};
+    CHECK_FALSE(group.runUntilOrdered(20s, {}));
+}
+
+// Guards against a wait for a run whose commits the others have.
+TEST_CASE("A replica that started again is not awaited once the replicas have caught up with the primary", "[grouphomefailover]")
+{
+    SynchronousGroup group(1);
+    crashMember(group, "m3");
+    group.downMembers.erase(complete);
+    group.logPositions[complete] = {1, 5};
+    group.statuses[complete] = {};
+    group.home.membersChanged({FakeGroup::member("m1", true), FakeGroup::member("m2", false), laterRun("m3")}, group.now);
+    const bool isCaughtUp = GENERATE(false, true);
+    if (isCaughtUp) {
+        group.logPositions[complete] = {1, 20};
+    }
+    group.runUnderLoad(3s);
+    group.losePrimary();
+    CHECK(group.runUntilOrdered(5s, {}) == isCaughtUp);
+}
+
+// Guards against the promotion of a member whose log is gone: the position that its earlier run had reported stayed the highest.
+TEST_CASE("A candidate that starts again without its log is not promoted for what its earlier run had reported", "[grouphomefailover]")
+{
+    const auto synchronousReplicas = GENERATE(0U, 1U);
+    SynchronousGroup group(synchronousReplicas);
+    group.logPositions[incomplete] = {1, 20};
+    group.logPositions[complete] = {1, 25};
+    TermRecord record = *group.storedTerm;
+    record.homes.emplace_back("b1/1"); // its lease is awaited once the candidate has been chosen
+    group.home.termSeen(record, ++group.termRevision, group.now, group.now);
+    group.losePrimary();
+    REQUIRE_FALSE(group.runUntilOrdered(1s, {}));
+    group.logPositions[complete] = {0, 0};
+    group.statuses[complete] = {};
+    crashMember(group, "m3");
+    group.downMembers.erase(complete);
+    group.home.membersChanged({FakeGroup::member("m2", false), laterRun("m3")}, group.now);
+    const bool isOrdered = group.runUntilOrdered(20s, {});
+    CHECK(isOrdered == (synchronousReplicas == 0));
+    CHECK((group.promotionOrders.empty() || group.promotionOrders.back().first == incomplete));
+}
+
+// Guards against a promotion that trusts an old primary without its log: the position that it had shown was forgotten with its restart.
+TEST_CASE("An old primary that started again without its log shows nothing about acknowledged commits", "[grouphomefailover]")
+{
+    SynchronousGroup group(1);
+    crashMember(group, "m3");
+    group.losePrimary();
+    group.downMembers.erase(MemberId("m1"));
+    group.logPositions[MemberId("m1")] = {1, 0};
+    group.statuses[MemberId("m1")] = {};
+    MemberRecord restarted = laterRun("m1");
+    group.home.membersChanged({restarted, FakeGroup::member("m2", false), FakeGroup::member("m3", false)}, group.now);
+    CHECK_FALSE(group.runUntilOrdered(20s, {}));
+}
+
 // Guards against a group that stays without a primary for good.
 TEST_CASE("A group whose only holder of acknowledged commits is gone for good gets a primary after a limited wait", "[grouphomefailover]")
 {
