A stream that ends after its event loop reports to nobody

Cause: a stream's end comes on a thread of gRPC and is posted to the event loop by reference. Nobody waits for the end of a stream that its owner has closed, so the loop may have been destroyed by then. An instance that stops can meet this too.

Fix: streams post by EventLoop::Poster, which outlives the loop and drops what comes later.

Test: "What is posted after the end of a loop is dropped"; there was no such way before, so that it cannot be run on the code before.

--- a/sessions/include/rattanbeam/sessions/eventloop.h
+++ b/sessions/include/rattanbeam/sessions/eventloop.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <mutex>
 
 namespace rattanbeam::sessions
 {
@@ -18,6 +19,30 @@
 class EventLoop
 {
 public:
+    /// Posts to a loop from threads that may outlive it. What is posted after the loop's end is dropped.
+    class Poster
+    {
+    public:
+        template<typename Function>
+        void post(Function function)
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_loop != nullptr) {
+                m_loop->post(std::move(function));
+            }
+        }
+
+    private:
+        friend class EventLoop;
+        std::mutex m_mutex;
+        EventLoop *m_loop = nullptr;
+    };
+
+    EventLoop();
+    ~EventLoop();
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
     /// Monotonic time that also advances while the machine is suspended, so that no lease outlasts a suspension.
     static decisions::TimePoint now();
 
@@ -32,6 +57,10 @@
     {
         boost::asio::post(m_context, std::move(function));
     }
+    std::shared_ptr<Poster> poster() const
+    {
+        return m_poster;
+    }
     /// Calls `function` once, after `delay`.
     void after(decisions::Duration delay, std::function<void()> function);
     /// Calls `function` repeatedly, each time `interval` after the previous call has returned or thrown.
@@ -45,6 +74,7 @@
 
 private:
     boost::asio::io_context m_context{1};
+    std::shared_ptr<Poster> m_poster = std::make_shared<Poster>();
 };
 
 } // namespace rattanbeam::sessions
--- a/sessions/src/eventloop.cpp
+++ b/sessions/src/eventloop.cpp
@@ -26,6 +26,17 @@
 
 } // namespace
 
+EventLoop::EventLoop()
+{
+    m_poster->m_loop = this;
+}
+
+EventLoop::~EventLoop()
+{
+    const std::lock_guard lock(m_poster->m_mutex);
+    m_poster->m_loop = nullptr;
+}
+
 void EventLoop::run()
 {
     const auto runContext = [this] {
--- a/sessions/src/internal/instancelink.cpp
+++ b/sessions/src/internal/instancelink.cpp
@@ -46,14 +46,14 @@
 /// Posts the events of a stream from gRPC's threads to the event loop. Nothing is delivered once the stream has ended or, on
 /// the connecting side, once its owner has closed it.
 struct EventDispatcher {
-    EventLoop &loop;
+    std::shared_ptr<EventLoop::Poster> poster; ///< The end of a stream may come after that of the loop.
     FrameEvents events; ///< Used on the loop's thread only.
     bool isEnded = false;
 
     /// Calls `handled`, if it is set, once the frame has been handled.
     static void postFrame(const std::shared_ptr<EventDispatcher> &self, std::shared_ptr<const Frame> frame, std::function<void()> handled)
     {
-        self->loop.post([self, frame = std::move(frame), handled = std::move(handled)]() mutable {
+        self->poster->post([self, frame = std::move(frame), handled = std::move(handled)]() mutable {
             try {
                 if (!self->isEnded && self->events.arrived) {
                     self->events.arrived(*frame);
@@ -72,7 +72,7 @@
     }
     static void postEnd(const std::shared_ptr<EventDispatcher> &self)
     {
-        self->loop.post([self] {
+        self->poster->post([self] {
             if (!std::exchange(self->isEnded, true) && self->events.ended) {
                 self->events.ended();
             }
@@ -238,7 +238,7 @@
 public:
     ServerStream(EventLoop &loop, const InstanceServer::AcceptCallback &accept) : m_handle(std::make_shared<ServerHandle>(this))
     {
-        m_dispatcher = std::make_shared<EventDispatcher>(EventDispatcher{loop, {}});
+        m_dispatcher = std::make_shared<EventDispatcher>(EventDispatcher{loop.poster(), {}});
         loop.post([accept, handle = m_handle, dispatcher = m_dispatcher] {
             dispatcher->events = accept(handle);
         });
@@ -352,7 +352,7 @@
 
 std::shared_ptr<FrameStream> connectInstance(EventLoop &loop, const std::string &address, FrameEvents events)
 {
-    const auto dispatcher = std::make_shared<EventDispatcher>(EventDispatcher{loop, std::move(events)});
+    const auto dispatcher = std::make_shared<EventDispatcher>(EventDispatcher{loop.poster(), std::move(events)});
     const auto stream = std::make_shared<ClientStream>(address, dispatcher);
     stream->start(stream);
     return std::make_shared<ClientHandle>(stream, dispatcher);
--- a/sessions/test/eventloop_test.cpp
+++ b/sessions/test/eventloop_test.cpp
@@ -38,4 +38,22 @@
     CHECK(calls == 3);
 }
 
+// Guards against a segmentation fault: a stream ended on a thread of gRPC after the loop that it reported to.
+TEST_CASE("What is posted after the end of a loop is dropped", "[eventloop]")
+{
+    std::shared_ptr<EventLoop::Poster> poster;
+    int calls = 0;
+    const auto call = [&calls] {
+        ++calls;
+    };
+    {
+        EventLoop loop;
+        poster = loop.poster();
+        poster->post(call);
+        loop.context().run();
+    }
+    poster->post(call);
+    CHECK(calls == 1);
+}
+
 } // namespace rattanbeam::sessions::test
