gRPC's polling threads are kept until the process ends

An instance that stops can meet it; that was not seen.

Cause: the end of the process's last channel or server joins gRPC's polling threads and deletes their queue. Streams and calls own their channel and end on one of these threads, which then joins itself and goes on with a deleted queue. Core files of three runs show grpc_cq_internal_unref aborting on a polling thread.

Fix: protocol::keepCallbackThreads holds the queue from the first use of the callback interface on.

--- a/proxy/src/internal/grpccall.h
+++ b/proxy/src/internal/grpccall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanbeam/decisions/timepoint.h"
+#include "rattanbeam/protocol/callbackthreads.h"
 #include "rattanbeam/proxy/internal/peerclient.h"
 
 #include <grpcpp/grpcpp.h>
@@ -81,6 +82,7 @@
 
 inline std::shared_ptr<grpc::Channel> openChannel(const std::string &address, bool ownConnection)
 {
+    protocol::keepCallbackThreads();
     return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), channelArguments(ownConnection));
 }
 
--- a/proxy/src/internal/server.cpp
+++ b/proxy/src/internal/server.cpp
@@ -160,6 +160,7 @@
 
 int Server::bind()
 {
+    protocol::keepCallbackThreads();
     int port = 0;
     grpc::ServerBuilder builder;
     builder.AddListeningPort(m_parts->listenAddress, grpc::InsecureServerCredentials(), &port);
--- a/proxy/test/peerclient_test.cpp
+++ b/proxy/test/peerclient_test.cpp
@@ -125,4 +125,13 @@
     CHECK(forwardTo(listener.address()) == CallResult::NeverSent);
 }
 
+// Guards against an abort in gRPC: the last call of the process ended on the thread of gRPC that its channel's destruction waits for.
+TEST_CASE("The process survives that its only call ends after its client is gone", "[peer]")
+{
+    constexpr int calls = 100;
+    for (int i = 0; i < calls; ++i) {
+        CHECK(forwardTo("unix:/nonexistent") == CallResult::NeverSent);
+    }
+}
+
 } // namespace rattanbeam::proxy::internal::test
--- a/sessions/src/internal/instancelink.cpp
+++ b/sessions/src/internal/instancelink.cpp
@@ -1,5 +1,7 @@
 #include "rattanbeam/sessions/internal/instancelink.h"
 
+#include "rattanbeam/protocol/callbackthreads.h"
+
 #include <utility>
 
 namespace rattanbeam::sessions::internal
@@ -352,6 +354,7 @@
 
 std::shared_ptr<FrameStream> connectInstance(EventLoop &loop, const std::string &address, FrameEvents events)
 {
+    protocol::keepCallbackThreads();
     const auto dispatcher = std::make_shared<EventDispatcher>(EventDispatcher{loop.poster(), std::move(events)});
     const auto stream = std::make_shared<ClientStream>(address, dispatcher);
     stream->start(stream);
@@ -376,6 +379,7 @@
 InstanceServer::InstanceServer(EventLoop &loop, const std::string &address, AcceptCallback accept)
     : m_service(std::make_unique<Service>(loop, std::move(accept)))
 {
+    protocol::keepCallbackThreads();
     grpc::ServerBuilder builder;
     builder.AddListeningPort(address, grpc::InsecureServerCredentials());
     builder.RegisterService(m_service.get());
--- a/sessions/test/instancelink_test.cpp
+++ b/sessions/test/instancelink_test.cpp
@@ -108,6 +108,18 @@
     }));
 }
 
+// Guards against an abort in gRPC: the last stream of the process ended on the thread of gRPC that its channel's destruction waits for.
+TEST_CASE("The process survives that its only stream ends after its owner has left it", "[instancelink]")
+{
+    EventLoop loop;
+    constexpr int streams = 100;
+    for (int i = 0; i < streams; ++i) {
+        internal::connectInstance(loop, "unix:/nonexistent", {}).reset();
+        loop.context().restart();
+        loop.context().run_for(20ms);
+    }
+}
+
 TEST_CASE("An entry that does not take its answers gets errors instead of rows", "[instancelink]")
 {
     ClientLimits limits;
