--- a/decisions/src/session/departedruns.cpp
+++ b/decisions/src/session/departedruns.cpp
@@ -79,8 +79,8 @@
         if (!departure.endedAt) {
             continue;
         }
-        const auto receivers = std::count_if(received.begin(), received.end(), [&](const LogPosition &position) {
-            return departure.bound && position >= *departure.bound;
+        const auto receivers = std::count_if(received.begin(), received.end(), [bound = departure.bound](const LogPosition &position) {
+            return bound && position >= *bound;
         });
         if (departure.bound && static_cast<std::size_t>(receivers) >= synchronousReplicas) {
             forgotten.push_back({run, Cause::ReceivedElsewhere});
