--- a/review/standin-3/pinned.cpp
+++ b/review/standin-3/pinned.cpp
@@ -107,8 +107,14 @@
         }
     });
     const auto route = [](const std::string &host, const std::string &type, int priority) {
-        return json{{"name", host}, {"host", host}, {"service", "tiza-db"}, {"type", type}, {"timeoutMs", 800}, {"objectiveMs", 200},
-                    {"priority", priority}, {"maxStalenessMs", type == "primary" ? 0 : 2500}};
+        return json{{"name", host},
+                    {"host", host},
+                    {"service", "tiza-db"},
+                    {"type", type},
+                    {"timeoutMs", 800},
+                    {"objectiveMs", 200},
+                    {"priority", priority},
+                    {"maxStalenessMs", type == "primary" ? 0 : 2500}};
     };
     store.put("config",
               "main",
--- a/review/standin-3/stale.cpp
+++ b/review/standin-3/stale.cpp
@@ -129,7 +129,12 @@
               "main",
               {{"version", 1},
                {"routes",
-                {{{"name", "pedidos"}, {"host", "pedidos"}, {"service", "tiza-db"}, {"type", "primary"}, {"timeoutMs", 800}, {"objectiveMs", 100},
+                {{{"name", "pedidos"},
+                  {"host", "pedidos"},
+                  {"service", "tiza-db"},
+                  {"type", "primary"},
+                  {"timeoutMs", 800},
+                  {"objectiveMs", 100},
                   {"priority", 0}}}},
                {"services", {{{"name", "tiza-db"}, {"maxConns", Group::maxConnections}, {"syncReplicas", 0}}}},
                {"limits", {{"txIdleMs", 3000}}}});
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -303,8 +303,8 @@
 {
     const std::string body = answer.body.is_null() ? "" : answer.body.dump();
     return sendAll(fd,
-                   "HTTP/1.1 " + std::to_string(answer.status) + " -\r\nContent-Type: application/json\r\nContent-Length: "
-                       + std::to_string(body.size()) + "\r\n\r\n" + body);
+                   "HTTP/1.1 " + std::to_string(answer.status)
+                       + " -\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
 /// The store of PROTOCOL.md, with a door of its own for each instance, so that the path between the two can be cut.
@@ -352,7 +352,8 @@
         if (found != m_objects.end() && found->second.at("spec") == spec) {
             return;
         }
-        json object = {{"meta", {{"name", name}, {"revision", m_revision + 1}, {"finalizers", json::array()}}}, {"spec", spec}, {"status", nullptr}};
+        json object = {
+            {"meta", {{"name", name}, {"revision", m_revision + 1}, {"finalizers", json::array()}}}, {"spec", spec}, {"status", nullptr}};
         m_objects[{kind, name}] = object;
         event(kind, object, false);
     }
@@ -794,8 +795,11 @@
     bool isPlain = false;
     bool isFailed = false;
     const auto ready = [&] {
-        return "READY " + std::string(transaction == 0 ? "I" : isFailed ? "E" : "T") + ' ' + std::to_string(term) + '.'
-               + std::to_string(applied) + "\r\n";
+        return "READY "
+               + std::string(transaction == 0 ? "I"
+                             : isFailed       ? "E"
+                                              : "T")
+               + ' ' + std::to_string(term) + '.' + std::to_string(applied) + "\r\n";
     };
     const auto failure = [&](const std::string &code) {
         isFailed = transaction != 0;
@@ -978,15 +982,14 @@
                         writes.clear();
                         transaction = 0;
                     }
-                    answer = done("s." + id + '.' + std::to_string(++group.lastSignature),
-                                  isWrite || verb == "COMMIT" ? "" : "row-" + query);
+                    answer
+                        = done("s." + id + '.' + std::to_string(++group.lastSignature), isWrite || verb == "COMMIT" ? "" : "row-" + query);
                 }
             } else {
                 answer = failure("MALFORMED");
             }
             // The request was run; only its answer says that it failed.
-            const bool isGrey = !isMaintenance && answer.rfind("ERROR", 0) != 0
-                                && std::bernoulli_distribution(greyShare)(group.choices);
+            const bool isGrey = !isMaintenance && answer.rfind("ERROR", 0) != 0 && std::bernoulli_distribution(greyShare)(group.choices);
             if (isGrey) {
                 answer = failure("FAILED");
                 note("member " + id + " connection " + std::to_string(number) + " has run and answers FAILED: " + text);
@@ -1016,7 +1019,8 @@
 class Fleet
 {
 public:
-    Fleet(Store &store, std::uint16_t promotions, std::string folder) : m_store(store), m_promotions(promotions), m_folder(std::move(folder))
+    Fleet(Store &store, std::uint16_t promotions, std::string folder)
+        : m_store(store), m_promotions(promotions), m_folder(std::move(folder))
     {}
     ~Fleet()
     {
@@ -1160,7 +1164,8 @@
 class Session
 {
 public:
-    Session(std::string client, std::uint16_t front, std::string database) : m_client(std::move(client)), m_front(front), m_database(std::move(database))
+    Session(std::string client, std::uint16_t front, std::string database)
+        : m_client(std::move(client)), m_front(front), m_database(std::move(database))
     {}
     ~Session()
     {
