--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -382,6 +382,8 @@
     // The lease and the change of primary
     bool isPrimaryUsable() const;
     void deliverPrimaryAnswer(WorkNumber number, const HomeReply &reply, bool mayHaveWritten, TimePoint sentAt, TimePoint now);
+    std::string replicaEvidenceText(TimePoint now) const;
+    void reportRelianceOnReplicas(WorkNumber number, TimePoint now);
     void releaseConfirmedAnswers(TimePoint now);
     void refuseUnconfirmableAnswers(TimePoint now);
     void ensureTermExists(TimePoint now);
@@ -516,6 +518,7 @@
     TimePoint m_activeSince = distantPast;
     /// When the lease last had recent evidence, or none was needed.
     TimePoint m_lastEvidenceAt = distantPast;
+    TimePoint m_relianceReportedAt = distantPast;
     /// Until then, requests for the primary, and reads that no member can serve now, are redirected to another home, and a primary
     /// that is down is not suspected again.
     TimePoint m_redirectUntil = distantPast;
--- a/decisions/include/rattanbeam/decisions/session/primarylease.h
+++ b/decisions/include/rattanbeam/decisions/session/primarylease.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace rattanbeam::decisions::session
@@ -74,6 +75,19 @@
     TimePoint evidenceTime() const;
     /// The same by the word of replicas alone.
     TimePoint replicaEvidenceTime() const;
+    /// What evidenceTime() rests on.
+    enum class Evidence {
+        None,
+        TermRecord,
+        Witness,
+        EveryReplica,
+    };
+    Evidence evidence() const;
+    /// When each replica of the group was last known unfenced; distantPast for one that was not, or not since the start of the generation.
+    const std::map<MemberId, TimePoint> &replicaConfirmations() const
+    {
+        return m_replicaConfirmedAt;
+    }
     /// Start of the last read of the term record that showed the lease's generation.
     TimePoint lastTermRecordReadAt() const
     {
@@ -94,6 +108,7 @@
 
 private:
     TimePoint witnessEvidenceTime() const;
+    TimePoint everyReplicaEvidenceTime() const;
 
     Duration m_duration;
     std::uint64_t m_generation = 0;
@@ -105,4 +120,6 @@
     std::map<MemberId, TimePoint> m_witnessConfirmedAt;
 };
 
+std::string_view evidenceName(PrimaryLease::Evidence evidence);
+
 } // namespace rattanbeam::decisions::session
--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -24,6 +24,7 @@
 constexpr Duration witnessReadInterval = 4000ms; // between reads of the term record that keep the witnesses' word valid
 constexpr Duration redirectTime = 1000ms; // after the first failed write of the term record; doubles with each further one
 constexpr Duration missingEvidenceGrace = 300ms; // added to the duration of the lease
+constexpr Duration relianceReportInterval = 1s; // between log lines of answers that pass on the word of every replica
 constexpr Duration evidenceRetryAfter = 5000ms; // without requests for this long, a home without evidence takes new ones
 
 } // namespace
@@ -57,6 +58,7 @@
 void GroupHome::deliverPrimaryAnswer(WorkNumber number, const HomeReply &reply, bool mayHaveWritten, TimePoint sentAt, TimePoint now)
 {
     if (m_work.at(number).generation == m_lease.generation() && m_lease.covers(now, now)) {
+        reportRelianceOnReplicas(number, now);
         finish(number, reply, now);
         return;
     }
@@ -77,6 +79,37 @@
     }
 }
 
+/// The replicas whose word is evidence, each with its term and the age of that word.
+std::string GroupHome::replicaEvidenceText(TimePoint now) const
+{
+    std::string text;
+    for (const auto &[id, confirmedAt] : m_lease.replicaConfirmations()) {
+        const auto member = m_members.find(id);
+        const bool hasStatus = member != m_members.end() && member->second.status;
+        text += (text.empty() ? "" : ",") + id.text() + ":term=" + (hasStatus ? std::to_string(member->second.status->term) : "unknown");
+        text += ":age_ms=" + (confirmedAt == distantPast ? "none" : std::to_string(millisecondsUntil(now, confirmedAt)));
+    }
+    return text;
+}
+
+/// Reports an answer that is passed on by the word of every replica alone; at most one a second.
+void GroupHome::reportRelianceOnReplicas(WorkNumber number, TimePoint now)
+{
+    if (m_lease.evidence() != PrimaryLease::Evidence::EveryReplica || now - m_relianceReportedAt < relianceReportInterval) {
+        return;
+    }
+    m_relianceReportedAt = now;
+    m_effects.report({"replicas-relied-on",
+                      false,
+                      {{"service", m_service.text()},
+                       {"request", m_work.at(number).request.forwarded.statement.id},
+                       {"primary", m_primary.text()},
+                       {"term", std::to_string(latestKnownTerm(m_primary))},
+                       {"generation", std::to_string(m_lease.generation())},
+                       {"listed", m_lease.isListed() ? "true" : "false"},
+                       {"replicas", replicaEvidenceText(now)}}});
+}
+
 void GroupHome::releaseConfirmedAnswers(TimePoint now)
 {
     std::deque<UnconfirmedAnswer> kept;
@@ -91,6 +124,8 @@
                                {"request", m_work.at(unconfirmed.work).request.forwarded.statement.id},
                                {"generation", std::to_string(unconfirmed.generation)},
                                {"listed", m_lease.isListed() ? "true" : "false"},
+                               {"evidence", std::string(evidenceName(m_lease.evidence()))},
+                               {"replicas", replicaEvidenceText(now)},
                                {"evidence_age_ms", std::to_string(millisecondsUntil(now, m_lease.evidenceTime()))},
                                {"waited_ms", std::to_string(millisecondsUntil(now, unconfirmed.answeredAt))}}});
             finish(unconfirmed.work, unconfirmed.reply, now);
--- a/decisions/src/session/primarylease.cpp
+++ b/decisions/src/session/primarylease.cpp
@@ -97,12 +97,29 @@
 }
 
 TimePoint PrimaryLease::replicaEvidenceTime() const
+{
+    return std::max(everyReplicaEvidenceTime(), witnessEvidenceTime());
+}
+
+TimePoint PrimaryLease::everyReplicaEvidenceTime() const
 {
     TimePoint allReplicas = m_replicaConfirmedAt.empty() ? distantPast : TimePoint::max();
     for (const auto &[replica, confirmedAt] : m_replicaConfirmedAt) {
         allReplicas = std::min(allReplicas, confirmedAt);
     }
-    return std::max(allReplicas, witnessEvidenceTime());
+    return allReplicas;
+}
+
+PrimaryLease::Evidence PrimaryLease::evidence() const
+{
+    const TimePoint latest = evidenceTime();
+    if (latest == distantPast) {
+        return Evidence::None;
+    }
+    if (latest == m_termRecordReadAt) {
+        return Evidence::TermRecord;
+    }
+    return latest == witnessEvidenceTime() ? Evidence::Witness : Evidence::EveryReplica;
 }
 
 bool PrimaryLease::covers(TimePoint answeredAt, TimePoint now) const
@@ -115,4 +132,19 @@
     return m_isListed && isListingKnown ? now < since + m_duration : since >= answeredAt;
 }
 
+std::string_view evidenceName(PrimaryLease::Evidence evidence)
+{
+    switch (evidence) {
+    case PrimaryLease::Evidence::None:
+        return "none";
+    case PrimaryLease::Evidence::TermRecord:
+        return "term-record";
+    case PrimaryLease::Evidence::Witness:
+        return "witness";
+    case PrimaryLease::Evidence::EveryReplica:
+        return "every-replica";
+    }
+    return "unknown";
+}
+
 } // namespace rattanbeam::decisions::session
