A replica that follows a later term is no evidence for the primary

Cause: the home took any status of a replica without a fence for its word that no other member had been promoted. After a change of primary the fences are lifted, and the replicas follow the later term. The logs show evidence=every-replica with replicas of term 4 for a primary of term 3.

The term in the status is now compared with the term that the primary leads, by the term record and its own status. A later one revokes the evidence as a fence does, for reads, writes, the watermark, witnesses and listed homes alike, and evidence-revoked says so. Positions in the primary's answers do not count as its term: once it follows a later primary, it shows that one's.

--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -354,6 +354,8 @@
     void statementFailed(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now);
     void pinOrReleaseConnection(Member &member, MemberConnection &connection, const Work &work, const Answer &answer, TimePoint now);
     void statusAnswered(Member &member, const ReplicationStatus &status, const PrimaryLease::Confirmation &confirmation, TimePoint now);
+    void
+    replicaAnswered(const MemberId &id, const ReplicationStatus &status, const PrimaryLease::Confirmation &confirmation, TimePoint now);
     void memberReached(Member &member, TimePoint now);
     void startPace(Member &member, std::string_view cause, TimePoint now);
     void paceAnswered(Member &member, Rank rank, Duration time, TimePoint now);
@@ -467,6 +469,7 @@
     bool hasWholeGroupReported() const;
     bool isNewLeader(const ReplicationStatus &status) const;
     Term latestKnownTerm(const MemberId &member) const;
+    Term termLedByPrimary() const;
     static std::string_view changeStageName(ChangeStage stage);
 
     ServiceName m_service;
--- a/decisions/src/session/grouphomeanswers.cpp
+++ b/decisions/src/session/grouphomeanswers.cpp
@@ -315,17 +315,47 @@
         return;
     }
     if (id != m_primary) {
-        if (!status.isPrimary && status.fenceTerm == 0) {
-            m_lease.replicaConfirmed(id, confirmation);
-            releaseConfirmedAnswers(now);
-        } else if (m_change.stage == ChangeStage::None) {
-            m_lease.replicaRevoked(id);
-            m_effects.readTerm();
-        }
+        replicaAnswered(id, status, confirmation, now);
     } else if (m_change.stage == ChangeStage::None && !status.isPrimary) {
         suspectPrimary("says-replica", now);
     }
     releaseHeld(now);
 }
 
+/// Takes the word of a replica as evidence for or against the present primary.
+void GroupHome::replicaAnswered(const MemberId &id,
+                                const ReplicationStatus &status,
+                                const PrimaryLease::Confirmation &confirmation,
+                                TimePoint now)
+{
+    const Term led = termLedByPrimary();
+    const bool isOfLaterTerm = status.term > led;
+    if (!status.isPrimary && status.fenceTerm == 0 && !isOfLaterTerm) {
+        m_lease.replicaConfirmed(id, confirmation);
+        releaseConfirmedAnswers(now);
+        return;
+    }
+    const bool isLedTermUnknown = led == 0 && !status.isPrimary && status.fenceTerm == 0;
+    if (m_change.stage != ChangeStage::None || isLedTermUnknown) {
+        return;
+    }
+    const auto confirmed = m_lease.replicaConfirmations().find(id);
+    if (confirmed != m_lease.replicaConfirmations().end() && confirmed->second != distantPast) {
+        m_effects.report({"evidence-revoked",
+                          false,
+                          {{"service", m_service.text()},
+                           {"member", id.text()},
+                           {"cause",
+                            status.isPrimary        ? "leads"
+                            : status.fenceTerm != 0 ? "fenced"
+                                                    : "later-term"},
+                           {"term", std::to_string(status.term)},
+                           {"primary", m_primary.text()},
+                           {"primary_term", std::to_string(led)},
+                           {"generation", std::to_string(m_lease.generation())}}});
+    }
+    m_lease.replicaRevoked(id);
+    m_effects.readTerm();
+}
+
 } // namespace rattanbeam::decisions::session
--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -104,7 +104,7 @@
                       {{"service", m_service.text()},
                        {"request", m_work.at(number).request.forwarded.statement.id},
                        {"primary", m_primary.text()},
-                       {"term", std::to_string(latestKnownTerm(m_primary))},
+                       {"term", std::to_string(termLedByPrimary())},
                        {"generation", std::to_string(m_lease.generation())},
                        {"listed", m_lease.isListed() ? "true" : "false"},
                        {"replicas", replicaEvidenceText(now)}}});
@@ -503,6 +503,15 @@
     return std::max<Term>(applied, m_term ? m_term->term : 0);
 }
 
+/// Term that the present primary leads, by the term record or its own word; 0 if it is not known. The positions of its answers do not
+/// count, since it shows those of a later primary once it follows that one.
+Term GroupHome::termLedByPrimary() const
+{
+    const auto found = m_members.find(m_primary);
+    const bool isLeading = found != m_members.end() && found->second.status && found->second.status->isPrimary;
+    return std::max<Term>(m_term ? m_term->term : 0, isLeading ? found->second.status->term : 0);
+}
+
 /// Whether requests have come lately.
 bool GroupHome::isInUse(TimePoint now) const
 {
