The word of every replica counts only while the home knows the present members

What makes the word of every replica evidence is that the promoted member is among them, and a home that is cut off does not know a member that has joined since.

Members whose registration has disappeared are still asked until the term record, read 2.5 s later, names the primary, or for 19.5 s.

The same set of members now decides in two related places that took all registered members for the whole group: a takeover of an unfinished change, and the record that is written again in a new epoch of the store.

Tests: evidence_test, grouphomeevidence_test, directory_test; each of the new ones in decisions fails with its rule taken out. Tests of the lease that confirmed all replicas now also say that the list is known; their checks are the same.

--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -83,6 +83,11 @@
 
     /// The registered members; records of other services are ignored.
     void membersChanged(const std::vector<MemberRecord> &members, TimePoint now);
+    /// The members of the last membersChanged() are all that were registered by `asOf`.
+    void memberListConfirmed(TimePoint asOf)
+    {
+        m_lease.memberListConfirmed(asOf);
+    }
     void setLimits(const GroupHomeLimits &limits);
     /// Whether this instance ranks first among the service's possible homes and does not redirect its requests. Otherwise it is a
     /// substitute, which keeps few connections until requests have come for some time.
@@ -415,6 +420,7 @@
     void setLeaseWitnesses();
     void sampleWatermark(const LogPosition &position, TimePoint sentAt, TimePoint now);
     std::set<MemberId> replicaIds() const;
+    void forgetUnregisteredReplicas(TimePoint now);
 
     // Changes of the store's epoch
     void ownGenerationWritten(const TermRecord &record, std::uint64_t revision, TimePoint now);
@@ -532,6 +538,8 @@
     /// Witnesses that this home has taken out of the term record, or tried to, with the record's revision before that. They are no evidence
     /// unless a later revision names them.
     std::map<MemberId, std::uint64_t> m_droppedWitnesses;
+    /// Members whose registrations have disappeared, with the time of that. They may have been promoted before.
+    std::map<MemberId, TimePoint> m_unregisteredReplicas;
     /// With synchronous replicas only: members that have left the group.
     DepartedRuns m_departedRuns;
     /// Since when the service has had neither a term record nor a member registered as primary.
--- a/decisions/include/rattanbeam/decisions/session/primarylease.h
+++ b/decisions/include/rattanbeam/decisions/session/primarylease.h
@@ -3,6 +3,7 @@
 #include "rattanbeam/decisions/identifiers.h"
 #include "rattanbeam/decisions/timepoint.h"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <optional>
@@ -20,11 +21,12 @@
 /// listed home, evidence is therefore valid for the lease's duration. An unlisted home needs evidence from after the answer
 /// itself.
 ///
-/// Evidence is a read of the term record, or the word of every replica, since a change of primary fences its candidate. For a listed
-/// home and for `witnessTerm` after a read, the word of one witness suffices, so that the loss of a replica does not stop the group while
-/// the store is away: a change of primary keeps every witness fenced for longer than the lease, or waits for the end of that term. A
-/// witness counts while its answers show without a gap of the lease's duration that it is not fenced, and come from the process that was
-/// running at the time of the read, since a fence does not survive a restart.
+/// Evidence is a read of the term record, or the word of every replica, since a change of primary fences its candidate. The word of every
+/// replica counts for `memberListTerm` after the list of members was known to be complete: a member that has joined since may have been
+/// promoted, and would not be asked. For a listed home and for `witnessTerm` after a read, the word of one witness suffices, so that the
+/// loss of a replica does not stop the group while the store is away: a change of primary keeps every witness fenced for longer than the
+/// lease, or waits for the end of that term. A witness counts while its answers show without a gap of the lease's duration that it is not
+/// fenced, and come from the process that was running at the time of the read, since a fence does not survive a restart.
 ///
 ///     lease.replicaConfirmed(replica, {sentAt, connectionOpenedAt, now});
 ///     if (lease.covers(answeredAt, now)) { passOn(answer); }
@@ -37,6 +39,11 @@
     void restart(std::uint64_t generation, bool isListed, const std::set<MemberId> &replicas);
     /// Replaces the set of replicas within a generation; those that stay keep their evidence.
     void setReplicas(const std::set<MemberId> &replicas);
+    /// The list of members, from which the replicas are taken, held every member that was registered by `asOf`.
+    void memberListConfirmed(TimePoint asOf)
+    {
+        m_memberListConfirmedAt = std::max(m_memberListConfirmedAt, asOf);
+    }
     /// Sets the witnesses that the term record names. One that is new counts from the next read of the record.
     void setWitnesses(const std::vector<MemberId> &witnesses);
 
@@ -88,6 +95,10 @@
     {
         return m_replicaConfirmedAt;
     }
+    TimePoint memberListConfirmedAt() const
+    {
+        return m_memberListConfirmedAt;
+    }
     /// Start of the last read of the term record that showed the lease's generation.
     TimePoint lastTermRecordReadAt() const
     {
@@ -105,6 +116,8 @@
 
     /// How long after a read of the term record the word of one witness counts.
     static constexpr Duration witnessTerm = std::chrono::seconds(12);
+    /// How long after a confirmation of the list of members the word of every replica counts.
+    static constexpr Duration memberListTerm = std::chrono::seconds(18);
 
 private:
     TimePoint witnessEvidenceTime() const;
@@ -115,6 +128,7 @@
     bool m_isListed = false;
     bool m_isListingLimited = false;
     TimePoint m_termRecordReadAt = distantPast;
+    TimePoint m_memberListConfirmedAt = distantPast;
     std::map<MemberId, TimePoint> m_replicaConfirmedAt;
     /// When each witness was last known unfenced; distantPast until a read of the record, and after a gap.
     std::map<MemberId, TimePoint> m_witnessConfirmedAt;
--- a/decisions/src/session/grouphomecandidates.cpp
+++ b/decisions/src/session/grouphomecandidates.cpp
@@ -175,11 +175,12 @@
     return isNewTerm || (m_change.oldPrimary.isEmpty() && m_change.haveEarlierOrdersExpired && hasWholeGroupReported());
 }
 
-/// Whether all registered members have reported, so that none can lead a later term unnoticed.
+/// Whether all members have reported that may have been promoted, so that none can lead a later term unnoticed.
 bool GroupHome::hasWholeGroupReported() const
 {
-    return std::all_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
-        return !entry.second.isRegistered || m_change.reportedPositions.contains(entry.first);
+    const std::set<MemberId> members = replicaIds();
+    return std::all_of(members.begin(), members.end(), [&](const MemberId &id) {
+        return m_change.reportedPositions.contains(id);
     });
 }
 
--- a/decisions/src/session/grouphomeepoch.cpp
+++ b/decisions/src/session/grouphomeepoch.cpp
@@ -136,9 +136,14 @@
     }
     const bool isHolder = m_term && m_lease.isListed() && m_lease.generation() == m_term->generation && m_lease.covers(now, now)
                           && m_lease.replicaEvidenceTime() >= confirmedSince;
-    const bool areAllUnfenced = std::all_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
-        const auto &[id, member] = entry;
-        return !member.isRegistered || id == leader->first
+    const std::set<MemberId> replicas = replicaIds();
+    const bool areAllUnfenced = std::all_of(replicas.begin(), replicas.end(), [&](const MemberId &id) {
+        const auto found = m_members.find(id);
+        if (found == m_members.end()) {
+            return false;
+        }
+        const Member &member = found->second;
+        return id == leader->first
                || (member.status && member.statusSentAt >= confirmedSince && !member.status->isPrimary && member.status->fenceTerm == 0);
     });
     return isHolder || areAllUnfenced ? leader->first : MemberId();
--- a/decisions/src/session/grouphomemembers.cpp
+++ b/decisions/src/session/grouphomemembers.cpp
@@ -73,6 +73,7 @@
         }
         member.record = record;
         member.isRegistered = true;
+        m_unregisteredReplicas.erase(record.id);
         if (isRestarted) {
             restartedDuringChange(record.id, now);
         }
@@ -85,6 +86,7 @@
         if (!registeredIds.contains(id) && member.isRegistered) {
             member.isRegistered = false;
             member.unregisteredAt = now;
+            m_unregisteredReplicas[id] = now;
             m_effects.report({"member-unregistered", true, {{"service", m_service.text()}, {"member", id.text()}}});
         }
     }
@@ -231,6 +233,7 @@
         removeMember(id, now);
     }
     updateDepartedRuns(now);
+    forgetUnregisteredReplicas(now);
     updateEvidenceState(now);
     endOverdueWork(now);
     retryStalledReads(now);
--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -35,17 +35,36 @@
     return m_change.stage == ChangeStage::None && m_isTermKnown && found != m_members.end() && found->second.health == Health::Up;
 }
 
+/// The members that may have been promoted, so that the word of all of them is evidence for the primary.
 std::set<MemberId> GroupHome::replicaIds() const
 {
     std::set<MemberId> replicas;
     for (const auto &[id, member] : m_members) {
-        if (id != m_primary && member.isRegistered) {
+        if (member.isRegistered) {
             replicas.insert(id);
         }
     }
+    for (const auto &[id, unregisteredAt] : m_unregisteredReplicas) {
+        replicas.insert(id);
+    }
+    replicas.erase(m_primary);
     return replicas;
 }
 
+/// A change of primary chooses among registered members. A member is therefore no longer a possible primary once the term record, read some
+/// time after its registration disappeared, names the primary still. A home that does not read the record drops it after as long as it
+/// relies on a list of members.
+void GroupHome::forgetUnregisteredReplicas(TimePoint now)
+{
+    const auto forgotten = std::erase_if(m_unregisteredReplicas, [&](const auto &entry) {
+        return (!m_primary.isEmpty() && m_lease.lastTermRecordReadAt() > entry.second + m_limits.registrationGrace)
+               || now - entry.second > PrimaryLease::memberListTerm + m_limits.leaseDuration;
+    });
+    if (forgotten > 0) {
+        m_lease.setReplicas(replicaIds());
+    }
+}
+
 void GroupHome::sampleWatermark(const LogPosition &position, TimePoint sentAt, TimePoint)
 {
     // No later promotion had begun at the time of the evidence, so commits acknowledged by then are this primary's.
@@ -107,7 +126,8 @@
                        {"term", std::to_string(termLedByPrimary())},
                        {"generation", std::to_string(m_lease.generation())},
                        {"listed", m_lease.isListed() ? "true" : "false"},
-                       {"replicas", replicaEvidenceText(now)}}});
+                       {"replicas", replicaEvidenceText(now)},
+                       {"members_age_ms", std::to_string(millisecondsUntil(now, m_lease.memberListConfirmedAt()))}}});
 }
 
 void GroupHome::releaseConfirmedAnswers(TimePoint now)
--- a/decisions/src/session/primarylease.cpp
+++ b/decisions/src/session/primarylease.cpp
@@ -107,7 +107,7 @@
     for (const auto &[replica, confirmedAt] : m_replicaConfirmedAt) {
         allReplicas = std::min(allReplicas, confirmedAt);
     }
-    return allReplicas;
+    return m_memberListConfirmedAt == distantPast ? distantPast : std::min(allReplicas, m_memberListConfirmedAt + memberListTerm);
 }
 
 PrimaryLease::Evidence PrimaryLease::evidence() const
--- a/decisions/test/session/evidence_test.cpp
+++ b/decisions/test/session/evidence_test.cpp
@@ -72,6 +72,7 @@
 {
     PrimaryLease lease(1s);
     lease.restart(3, true, {MemberId("r1"), MemberId("r2")});
+    lease.memberListConfirmed(start);
     lease.replicaConfirmed(MemberId("r1"), promptAnswer(start));
     CHECK_FALSE(lease.covers(start, start));
     lease.replicaConfirmed(MemberId("r2"), promptAnswer(start + 100ms));
@@ -83,12 +84,33 @@
 {
     PrimaryLease lease(1s);
     lease.restart(3, false, {MemberId("r1")});
+    lease.memberListConfirmed(start);
     lease.replicaConfirmed(MemberId("r1"), promptAnswer(start));
     CHECK_FALSE(lease.covers(start + 1ms, start + 2ms));
     lease.replicaConfirmed(MemberId("r1"), promptAnswer(start + 1ms));
     CHECK(lease.covers(start + 1ms, start + 2ms));
 }
 
+// Guards against evidence that leaves out a member that has joined since the list of members was complete.
+TEST_CASE("The word of every replica is no evidence from longer after the members were known", "[primarylease]")
+{
+    PrimaryLease lease(1s);
+    const bool isListed = GENERATE(false, true);
+    lease.restart(3, isListed, {MemberId("r1")});
+    lease.replicaConfirmed(MemberId("r1"), promptAnswer(start));
+    CHECK(lease.evidence() == PrimaryLease::Evidence::None);
+    lease.memberListConfirmed(start);
+    CHECK(lease.evidence() == PrimaryLease::Evidence::EveryReplica);
+    const TimePoint end = start + PrimaryLease::memberListTerm;
+    lease.replicaConfirmed(MemberId("r1"), promptAnswer(end + 500ms));
+    CHECK(lease.evidenceTime() == end);
+    CHECK(lease.covers(end, end));
+    CHECK(lease.covers(end + 500ms, end + 500ms) == isListed); // the lease's duration begins at the end
+    CHECK_FALSE(lease.covers(end + 1s, end + 1s));
+    lease.memberListConfirmed(start + 1s);
+    CHECK(lease.covers(end + 500ms, end + 500ms));
+}
+
 TEST_CASE("Evidence of another generation, or a fenced replica, ends the lease", "[primarylease]")
 {
     PrimaryLease lease(1s);
--- a/decisions/test/session/fakegroup.h
+++ b/decisions/test/session/fakegroup.h
@@ -33,6 +33,7 @@
         : home(ServiceName("orders"), "a1/1", GroupHomeLimits(), *this)
     {
         home.membersChanged(members, now);
+        home.memberListConfirmed(now);
     }
 
     static MemberRecord member(const std::string &id, bool isRegisteredAsPrimary)
@@ -95,6 +96,9 @@
     {
         for (Duration elapsed{}; elapsed < time; elapsed += 10ms) {
             now += 10ms;
+            if (isMemberListFollowed) {
+                home.memberListConfirmed(now);
+            }
             home.tick(now);
         }
     }
@@ -262,6 +266,8 @@
     std::set<MemberId> unreachableMembers;
     std::map<MemberId, LogPosition> logPositions;
     std::map<MemberId, ReplicationStatus> statuses;
+    /// Whether the home goes on hearing which members are registered.
+    bool isMemberListFollowed = true;
     int termReads = 0;
     int peerInquiries = 0;
     RequestNumber lastRequest = 0;
--- a/decisions/test/session/grouphomeepoch_test.cpp
+++ b/decisions/test/session/grouphomeepoch_test.cpp
@@ -129,6 +129,7 @@
     lease.restart(1, true, {m2});
     lease.limitListing();
     lease.termRecordRead(1, true, readAt);
+    lease.memberListConfirmed(readAt);
     const TimePoint answeredAt = readAt + PrimaryLease::witnessTerm - 100ms;
     lease.replicaConfirmed(m2, {answeredAt - 50ms, readAt, answeredAt});
     CHECK(lease.covers(answeredAt, answeredAt));
--- a/decisions/test/session/grouphomeevidence_test.cpp
+++ b/decisions/test/session/grouphomeevidence_test.cpp
@@ -41,6 +41,16 @@
         const HomeReply *reply = replyTo(request.number);
         return reply != nullptr && reply->answer.isSuccess();
     }
+    /// No command of the home reaches the member any more.
+    void cutOff(const MemberId &member)
+    {
+        unreachableMembers.insert(member);
+        for (const auto &[connection, owner] : std::map(connectionMembers)) {
+            if (owner == member) {
+                home.connectionFailed(connection, ConnectFailure::Lost, now);
+            }
+        }
+    }
     bool isReadServed()
     {
         return isServed(readRequest("r" + std::to_string(lastRequest), Consistency::Latest));
@@ -93,4 +103,45 @@
     CHECK_FALSE(group.isServed(group.writeRequest("w1")));
 }
 
+// Guards against the same if the promoted member joined after the home was cut off, and the replicas that the home knows do not follow it.
+TEST_CASE("The word of every replica counts for a limited time after the members were last known", "[grouphomeevidence]")
+{
+    CutOffHome group;
+    group.isMemberListFollowed = false;
+    group.advanceTime(PrimaryLease::memberListTerm - 1s);
+    CHECK(group.isReadServed());
+    group.advanceTime(1s);
+    CHECK_FALSE(group.isReadServed());
+    CHECK_FALSE(group.isServed(group.writeRequest("w1")));
+    group.home.memberListConfirmed(group.now);
+    group.advanceTime(6s); // after a while without requests, a home without evidence takes new ones
+    CHECK(group.isReadServed());
+}
+
+// Guards against the same if the promoted member has lost its registration since.
+TEST_CASE("The word of a replica is needed for some time after its registration has disappeared", "[grouphomeevidence]")
+{
+    CutOffHome group;
+    group.cutOff(firstReplica);
+    group.home.membersChanged({FakeGroup::member("m1", true), FakeGroup::member("m3", false)}, group.now);
+    group.advanceTime(500ms);
+    CHECK_FALSE(group.isReadServed());
+    SECTION("it ends with a read of the term record")
+    {
+        group.advanceTime(3s);
+        CHECK_FALSE(group.isReadServed());
+        TermRecord record{ServiceName("orders"), 1, primary, {"b1/1"}};
+        record.term = 3;
+        group.home.termSeen(record, ++group.termRevision, group.now, group.now);
+    }
+    SECTION("without one it ends when the home would no longer rely on a list of members of that time")
+    {
+        group.advanceTime(15s);
+        CHECK_FALSE(group.isReadServed());
+    }
+    group.advanceTime(6s);
+    group.answerAll();
+    CHECK(group.isReadServed());
+}
+
 } // namespace rattanbeam::decisions::session::test
--- a/decisions/test/session/groupschedule.h
+++ b/decisions/test/session/groupschedule.h
@@ -119,6 +119,8 @@
 private:
     static constexpr int memberCount = 3;
     static constexpr int homeCount = 2;
+    /// Within this time, every home hears of a change of registrations.
+    static constexpr std::chrono::milliseconds maxRegistrationNotice{300};
     /// Of one home, at a member; a member with fewer refuses some too.
     static constexpr std::uint32_t acceptedConnections = 16;
 
@@ -406,7 +408,6 @@
     void updateRegistrations()
     {
         constexpr Duration registrationTimeout = 3600ms;
-        constexpr std::uint32_t maxNoticeMs = 300;
         bool isChanged = false;
         for (int i = 0; i < memberCount; ++i) {
             Member &member = m_members[i];
@@ -422,7 +423,7 @@
             return;
         }
         for (auto &home : m_homes) {
-            home->runAfter(std::chrono::milliseconds(m_random() % maxNoticeMs), [this, home = home.get()] {
+            home->runAfter(std::chrono::milliseconds(m_random() % maxRegistrationNotice.count()), [this, home = home.get()] {
                 home->groupHome.membersChanged(records(), m_now);
             });
         }
@@ -631,6 +632,7 @@
                 executeCommand(home, each, m_members[connectionMember->second]);
             }
         }
+        home.groupHome.memberListConfirmed(m_now - maxRegistrationNotice);
         home.groupHome.tick(m_now);
     }
     void executeCommand(Home &home, const SentCommand &each, Member &member)
--- a/sessions/include/rattanbeam/sessions/internal/directory.h
+++ b/sessions/include/rattanbeam/sessions/internal/directory.h
@@ -28,6 +28,8 @@
     std::uint64_t termsDigest = 0;
     /// Time at which the store last confirmed that the peer's records were up to date; empty if the peer does not watch the store.
     std::optional<TimePoint> confirmedAt;
+    /// Time as of which the peer's list of members was complete; empty if the peer does not know one.
+    std::optional<TimePoint> membersConfirmedAt;
     std::uint64_t storeEpoch = 0;
     /// When some instance knew that epoch already.
     TimePoint storeEpochSeenAt{};
@@ -101,6 +103,16 @@
         return m_configuration;
     }
     std::vector<MemberRecord> members() const;
+    /// members() holds every member that was registered by then.
+    TimePoint membersConfirmedAt() const
+    {
+        return m_members.confirmedAt;
+    }
+    /// Whether a change is known that onChange() has not told yet.
+    bool isChangeReportPending() const
+    {
+        return m_isChangeReportPending;
+    }
     std::vector<InstanceRecord> instances() const;
     const std::map<std::string, Record> &instanceRecords() const
     {
@@ -141,6 +153,8 @@
         Collection collection;
         std::map<std::string, Record> records;
         std::uint64_t revision = 0;
+        /// Time as of which the records were complete, by a call to the store that began then.
+        TimePoint confirmedAt = decisions::distantPast;
         /// Whether the records have been listed, from the store or from a peer.
         bool isLoaded = false;
         decisions::Duration backoff{};
@@ -157,7 +171,8 @@
 
     void list(CollectionState &state);
     void watch(CollectionState &state);
-    void watchEnded(CollectionState &state, StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision);
+    void watchEnded(
+        CollectionState &state, StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision, TimePoint startedAt);
     void replacedWatchEnded(CollectionState &state, StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision);
     void scheduleWatch(CollectionState &state, decisions::Duration delay);
     void recordStoreConfirmation(const CollectionState &state, TimePoint confirmedAt);
--- a/sessions/src/internal/directory.cpp
+++ b/sessions/src/internal/directory.cpp
@@ -189,6 +189,7 @@
             }
             state.backoff = {};
             recordStoreConfirmation(state, startedAt);
+            state.confirmedAt = std::max(state.confirmedAt, startedAt);
             applyList(state, records, revision, startedAt);
             updateStoreReachability(outcome);
             if (!state.isWatching) {
@@ -232,20 +233,22 @@
     }
     state.isWatching = true;
     const std::uint64_t watchNumber = ++state.watchNumber;
+    const TimePoint startedAt = EventLoop::now();
     m_store.watch(state.collection,
                   state.revision,
                   watchWait(state.collection),
-                  [this, &state, watchNumber](StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision) {
+                  [this, &state, watchNumber, startedAt](StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision) {
                       if (watchNumber != state.watchNumber) {
                           replacedWatchEnded(state, outcome, records, revision);
                           return;
                       }
                       state.isWatching = false;
-                      watchEnded(state, outcome, records, revision);
+                      watchEnded(state, outcome, records, revision, startedAt);
                   });
 }
 
-void Directory::watchEnded(CollectionState &state, StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision)
+void Directory::watchEnded(
+    CollectionState &state, StoreOutcome outcome, const std::vector<Record> &records, std::uint64_t revision, TimePoint startedAt)
 {
     if (outcome != StoreOutcome::Done) {
         updateStoreReachability(outcome == StoreOutcome::HistoryLost ? StoreOutcome::Done : outcome);
@@ -255,6 +258,7 @@
     state.backoff = {};
     state.revision = std::max(state.revision, revision);
     recordStoreConfirmation(state, EventLoop::now() - watchAnswerLatency);
+    state.confirmedAt = std::max(state.confirmedAt, startedAt);
     applyEvents(state, records);
     updateStoreReachability(outcome);
     if (state.isWatching) {
--- a/sessions/src/internal/directorypeers.cpp
+++ b/sessions/src/internal/directorypeers.cpp
@@ -29,6 +29,9 @@
     pong.set_members_digest(m_members.digest);
     pong.set_instances_digest(m_instances.digest);
     pong.set_terms_digest(m_terms.digest);
+    if (m_members.confirmedAt != decisions::distantPast) {
+        pong.set_members_age_ms(decisions::millisecondsUntil(EventLoop::now(), m_members.confirmedAt) + 1);
+    }
     pong.set_follows_store(m_isWatchingStore && m_storeConfirmedAt != decisions::distantPast);
     pong.set_store_age_ms(decisions::millisecondsUntil(EventLoop::now(), m_storeConfirmedAt));
 }
@@ -48,6 +51,9 @@
     if (!isReady()) {
         return;
     }
+    if (peer.membersConfirmedAt && peer.storeEpoch == m_storeEpoch && peer.membersDigest == m_members.digest) {
+        m_members.confirmedAt = std::max(m_members.confirmedAt, *peer.membersConfirmedAt);
+    }
     if (m_isWatchingStore) {
         restartWatchesIfBehind(peer);
     }
--- a/sessions/src/internal/homeservice.cpp
+++ b/sessions/src/internal/homeservice.cpp
@@ -276,6 +276,7 @@
         serviceHome.home().setFirstHome(isFirstHome(name));
         serviceHome.home().storeEpochChanged(m_directory.storeEpoch(), m_directory.storeEpochSeenAt(), now);
         serviceHome.home().membersChanged(m_directory.members(), now);
+        serviceHome.home().memberListConfirmed(m_directory.membersConfirmedAt());
         if (m_directory.areTermsLoaded()) {
             const auto [term, revision] = m_directory.term(name);
             serviceHome.home().termSeen(term, revision, decisions::distantPast, now);
@@ -463,6 +464,9 @@
 {
     const TimePoint now = EventLoop::now();
     for (auto &[name, serviceHome] : m_serviceHomes) {
+        if (!m_directory.isChangeReportPending()) {
+            serviceHome->home().memberListConfirmed(m_directory.membersConfirmedAt());
+        }
         serviceHome->home().tick(now);
     }
 }
--- a/sessions/src/sessioninstance.cpp
+++ b/sessions/src/sessioninstance.cpp
@@ -314,6 +314,9 @@
     peer.termsDigest = pong.terms_digest();
     peer.storeEpoch = pong.store_epoch();
     peer.storeEpochSeenAt = EventLoop::now() - std::chrono::milliseconds(pong.store_epoch_age_ms());
+    if (pong.has_members_age_ms()) {
+        peer.membersConfirmedAt = pingSentAt - std::chrono::milliseconds(pong.members_age_ms());
+    }
     if (pong.follows_store()) {
         peer.confirmedAt = pingSentAt - std::chrono::milliseconds(pong.store_age_ms());
     }
--- a/sessions/test/directory_test.cpp
+++ b/sessions/test/directory_test.cpp
@@ -252,4 +252,62 @@
     CHECK(pong.store_epoch() == 2);
 }
 
+namespace
+{
+
+/// What a peer with the same records says that has confirmed its list of members at `confirmedAt`.
+internal::PeerDirectoryState samePeer(const internal::Directory &directory, TimePoint confirmedAt)
+{
+    link::v1::Pong pong;
+    directory.fillPong(pong);
+    internal::PeerDirectoryState peer;
+    peer.address = "10.0.0.7:80";
+    peer.configurationVersion = pong.configuration_version();
+    peer.membersDigest = pong.members_digest();
+    peer.instancesDigest = pong.instances_digest();
+    peer.termsDigest = pong.terms_digest();
+    peer.membersConfirmedAt = confirmedAt;
+    return peer;
+}
+
+} // namespace
+
+// Guards against evidence that leaves out a member that has joined: the list must not count as newer than it is.
+TEST_CASE("The list of members is confirmed as of the start of the call that returned it", "[directory]")
+{
+    const TimePoint beforeStart = EventLoop::now();
+    DirectoryFixture fixture;
+    const TimePoint listedAt = fixture.directory.membersConfirmedAt();
+    CHECK(listedAt >= beforeStart);
+    REQUIRE(fixture.runUntil([&] {
+        return fixture.store.watchesStarted >= 4;
+    }));
+    const TimePoint watched = EventLoop::now();
+    fixture.runUntil(
+        [] {
+            return false;
+        },
+        50ms);
+    fixture.store.put(Collection::Members, "m3", memberRecord("m3"));
+    REQUIRE(fixture.runUntil([&] {
+        return fixture.memberNames().contains("m3");
+    }));
+    CHECK(fixture.directory.membersConfirmedAt() > listedAt);
+    CHECK(fixture.directory.membersConfirmedAt() <= watched);
+}
+
+TEST_CASE("A peer confirms the list of members only if it has the same members", "[directory]")
+{
+    DirectoryFixture fixture;
+    const TimePoint listedAt = fixture.directory.membersConfirmedAt();
+    const TimePoint confirmedAt = listedAt + 10s;
+    internal::PeerDirectoryState peer = samePeer(fixture.directory, confirmedAt);
+    ++peer.membersDigest;
+    fixture.directory.peerReported(peer);
+    CHECK(fixture.directory.membersConfirmedAt() == listedAt);
+    --peer.membersDigest;
+    fixture.directory.peerReported(peer);
+    CHECK(fixture.directory.membersConfirmedAt() == confirmedAt);
+}
+
 } // namespace rattanbeam::sessions::test
