After the promotion of a new member, a replica that every home knows stays fenced

A change of primary now prefers, among equals, a candidate that has been registered for longer than homes rely on a list of members. One that has not is ordered only while a replica that has is fenced, and that fence is held until the candidate has been registered for as long (fence-held); without such a replica the order waits.

Tests: three cases of grouphomefailover_test, each fails with its rule taken out; directory_test for the time since when a member is known.

--- a/decisions/include/rattanbeam/decisions/session/fleetrecords.h
+++ b/decisions/include/rattanbeam/decisions/session/fleetrecords.h
@@ -2,6 +2,7 @@
 
 #include "rattanbeam/decisions/identifiers.h"
 #include "rattanbeam/decisions/rank.h"
+#include "rattanbeam/decisions/timepoint.h"
 
 #include <cstdint>
 #include <optional>
@@ -94,6 +95,8 @@
     bool isRegisteredAsPrimary = false;
     /// Start time of its current process, which tells apart the runs of one member.
     std::uint64_t incarnation = 0;
+    /// When this instance first saw the registration; distantPast if it was there before the instance was.
+    TimePoint knownSince = distantPast;
 
     auto operator<=>(const MemberRecord &) const = default;
 };
--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -414,6 +414,10 @@
     void updateFencedWitnesses(const MemberId &id, const ReplicationStatus &status, TimePoint now);
     void fenceWitnesses(TimePoint now);
     bool haveLeasesEnded(TimePoint now) const;
+    TimePoint knownToAllHomesAt(const Member &member) const;
+    std::optional<MemberId> guardingReplica(TimePoint now) const;
+    bool isGuardNeeded(TimePoint now) const;
+    bool isFenceHeld(const MemberId &id, TimePoint now) const;
     std::vector<MemberId> reachableReplicas() const;
     std::vector<MemberId> updatedWitnesses(const TermRecord &record) const;
     bool mayForgetWitness(const MemberId &witness) const;
@@ -540,6 +544,12 @@
     std::map<MemberId, std::uint64_t> m_droppedWitnesses;
     /// Members whose registrations have disappeared, with the time of that. They may have been promoted before.
     std::map<MemberId, TimePoint> m_unregisteredReplicas;
+    /// A replica that stays fenced after the promotion of a member that some homes may not know.
+    struct HeldFence {
+        MemberId member;
+        TimePoint until = distantPast;
+    };
+    HeldFence m_heldFence;
     /// With synchronous replicas only: members that have left the group.
     DepartedRuns m_departedRuns;
     /// Since when the service has had neither a term record nor a member registered as primary.
--- a/decisions/src/session/grouphomecandidates.cpp
+++ b/decisions/src/session/grouphomecandidates.cpp
@@ -1,6 +1,7 @@
 #include "rattanbeam/decisions/session/grouphome.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace rattanbeam::decisions::session
@@ -191,7 +192,8 @@
     const bool isLastResort = m_noCandidateSince != distantPast && now - m_noCandidateSince > lastResortAfter;
     const bool isSynchronous = m_limits.synchronousReplicas > 0;
     std::optional<MemberId> best;
-    std::pair<LogPosition, bool> highest; // among equals, members that stay in the group are preferred
+    // Among equals, members that stay in the group are preferred, and then those that every home knows.
+    std::tuple<LogPosition, bool, bool> highest;
     for (const auto &[id, received] : m_change.reportedPositions) {
         const auto member = m_members.find(id);
         const bool isLeaving = member != m_members.end() && member->second.record.isLeaving;
@@ -200,7 +202,8 @@
         const bool isKnown = isUp && member->second.status;
         const bool isOldLeader = isKnown && member->second.status->isPrimary && !isNewLeader(*member->second.status);
         const bool isFit = isKnown && !isOldLeader && (member->second.status->term >= m_change.oldPrimaryTerm || isLastResort);
-        const std::pair merit{received, !isLeaving && id != m_change.oldPrimary};
+        const bool isKnownToAll = isUp && now >= knownToAllHomesAt(member->second);
+        const std::tuple merit{received, !isLeaving && id != m_change.oldPrimary, isKnownToAll};
         if (isFit && (!best || merit > highest)) {
             best = id;
             highest = merit;
@@ -303,9 +306,49 @@
     }
 }
 
+/// From then on, no home relies on a list of members that was complete before the member joined.
+TimePoint GroupHome::knownToAllHomesAt(const Member &member) const
+{
+    return member.record.knownSince + PrimaryLease::memberListTerm + m_limits.leaseDuration + m_limits.leaseMargin;
+}
+
+/// Whether a home that is cut off may not know the candidate, and so pass on answers of the old primary by the word of the replicas that it
+/// knows. The old primary's own word that it is a replica rules that out.
+bool GroupHome::isGuardNeeded(TimePoint now) const
+{
+    const auto candidate = m_members.find(m_change.candidate);
+    return candidate != m_members.end() && !m_change.finalPosition && now < knownToAllHomesAt(candidate->second)
+           && !(candidate->second.status && candidate->second.status->isPrimary);
+}
+
+/// A replica that every home knows and that is fenced, so that none of them has the word of every replica for the old primary. Answers of
+/// listed homes stay covered for the duration of the lease after the fence.
+std::optional<MemberId> GroupHome::guardingReplica(TimePoint now) const
+{
+    const Duration minFenceTime = m_change.leaseHolders.empty() ? Duration{} : m_limits.leaseDuration + m_limits.leaseMargin;
+    for (const auto &[id, fencedSince] : m_change.fencedSince) {
+        const auto member = m_members.find(id);
+        const bool isKnownToAll = member != m_members.end() && now >= knownToAllHomesAt(member->second);
+        if (isKnownToAll && id != m_change.candidate && id != m_change.oldPrimary && member->second.status
+            && member->second.status->fenceTerm != 0 && now - fencedSince >= minFenceTime) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+/// Whether the member is to stay fenced although the change of primary is over.
+bool GroupHome::isFenceHeld(const MemberId &id, TimePoint now) const
+{
+    return id == m_heldFence.member && now < m_heldFence.until;
+}
+
 /// Whether no other home can still pass on answers of the old primary.
 bool GroupHome::haveLeasesEnded(TimePoint now) const
 {
+    if (isGuardNeeded(now) && !guardingReplica(now)) {
+        return false;
+    }
     const Duration leaseTime = m_limits.leaseDuration + m_limits.leaseMargin;
     const bool areAllListed = !mayHaveUnlistedHolders(now);
     if (m_change.leaseHolders.empty() && areAllListed) {
@@ -367,7 +410,7 @@
 void GroupHome::resumeFencedMembers(TimePoint now)
 {
     for (auto &[id, member] : m_members) {
-        const bool isFenced = member.status && member.status->fenceTerm != 0 && id != m_primary;
+        const bool isFenced = member.status && member.status->fenceTerm != 0 && id != m_primary && !isFenceHeld(id, now);
         if (isFenced && member.health == Health::Up) {
             sendMaintenance(member, CommandKind::Resume, 0, now);
         }
--- a/decisions/src/session/grouphomefailover.cpp
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -193,6 +193,15 @@
     }
     m_change.lastOrderAt = now;
     if (m_change.stage != ChangeStage::Ordering) {
+        if (isGuardNeeded(now)) {
+            m_heldFence = {guardingReplica(now).value_or(MemberId()), knownToAllHomesAt(m_members.at(m_change.candidate))};
+            m_effects.report({"fence-held",
+                              false,
+                              {{"service", m_service.text()},
+                               {"member", m_heldFence.member.text()},
+                               {"candidate", m_change.candidate.text()},
+                               {"ms", std::to_string(millisecondsUntil(m_heldFence.until, now))}}});
+        }
         setStage(ChangeStage::Ordering, now + m_limits.promotionTimeout);
     }
     m_effects.orderPromotion(m_change.candidate, m_change.fencingToken);
@@ -314,7 +323,8 @@
         return;
     }
     const bool hasFenced = std::any_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
-        return entry.first != m_primary && entry.second.health == Health::Up && entry.second.status && entry.second.status->fenceTerm != 0;
+        return entry.first != m_primary && entry.second.health == Health::Up && entry.second.status && entry.second.status->fenceTerm != 0
+               && !isFenceHeld(entry.first, now);
     });
     if (!hasFenced) {
         m_fencedSince = now;
--- a/decisions/test/session/grouphomefailover_test.cpp
+++ b/decisions/test/session/grouphomefailover_test.cpp
@@ -890,4 +890,83 @@
     }));
 }
 
+namespace
+{
+
+constexpr Duration leaseTime = GroupHomeLimits().leaseDuration + GroupHomeLimits().leaseMargin;
+
+/// A group whose replica m2 has joined just now.
+std::vector<MemberRecord> groupWithNewReplica()
+{
+    std::vector<MemberRecord> members{FakeGroup::member("m1", true), FakeGroup::member("m2", false), FakeGroup::member("m3", false)};
+    members[1].knownSince = TimePoint(1000s);
+    return members;
+}
+
+/// Crashes the primary. The store takes the new term, and no other home is listed.
+void crashPrimary(FakeGroup &group)
+{
+    crashMember(group, "m1");
+    group.home.peersAnswered(MemberId("m1"), 0, 2, group.now);
+    group.completeTermWrite();
+}
+
+bool isOrdered(const FakeGroup &group, const char *id)
+{
+    return !group.promotionOrders.empty() && group.promotionOrders.back().first == MemberId(id);
+}
+
+} // namespace
+
+TEST_CASE("Among equals, a replica that every home knows is promoted", "[grouphomefailover]")
+{
+    FakeGroup group(groupWithNewReplica());
+    group.makeHealthy();
+    crashPrimary(group);
+    REQUIRE(runWithStoreUntil(group, 2s, [&] {
+        return !group.promotionOrders.empty();
+    }));
+    CHECK(isOrdered(group, "m3"));
+}
+
+// Guards against stale reads at a home that is cut off and has not heard of the promoted replica: the word of the others is its evidence.
+TEST_CASE("After the promotion of a new replica, one that every home knows stays fenced until all know the new one", "[grouphomefailover]")
+{
+    FakeGroup group(groupWithNewReplica());
+    group.makeHealthy();
+    group.logPositions[MemberId("m2")] = {1, 12};
+    crashPrimary(group);
+    REQUIRE(runWithStoreUntil(group, 2s, [&] {
+        return isOrdered(group, "m2");
+    }));
+    group.statuses[MemberId("m2")].isPrimary = true;
+    group.statuses[MemberId("m2")].term = 2;
+    group.statuses[MemberId("m2")].fenceTerm = 0;
+    group.home.promotionAnswered(MemberId("m2"), PromotionResult::Accepted, group.now);
+    REQUIRE(runUntil(group, [&] {
+        return group.home.primary() == MemberId("m2");
+    }));
+    group.completeTermWrite();
+    const TimePoint knownToAllAt = TimePoint(1000s) + PrimaryLease::memberListTerm + leaseTime;
+    const auto isResumed = [&] {
+        return group.statuses[MemberId("m3")].fenceTerm == 0;
+    };
+    CHECK_FALSE(runWithStoreUntil(group, knownToAllAt - group.now - 100ms, isResumed));
+    CHECK(runWithStoreUntil(group, 2s, isResumed));
+}
+
+TEST_CASE("A new replica is not promoted before every home knows it if no other replica can be fenced", "[grouphomefailover]")
+{
+    FakeGroup group(groupWithNewReplica());
+    group.makeHealthy();
+    crashMember(group, "m3");
+    crashPrimary(group);
+    const TimePoint knownToAllAt = TimePoint(1000s) + PrimaryLease::memberListTerm + leaseTime;
+    const auto isAnyOrdered = [&] {
+        return !group.promotionOrders.empty();
+    };
+    CHECK_FALSE(runWithStoreUntil(group, knownToAllAt - group.now - 100ms, isAnyOrdered));
+    CHECK(runWithStoreUntil(group, 2s, isAnyOrdered));
+}
+
 } // namespace rattanbeam::decisions::session::test
--- a/sessions/include/rattanbeam/sessions/internal/directory.h
+++ b/sessions/include/rattanbeam/sessions/internal/directory.h
@@ -152,6 +152,8 @@
     struct CollectionState {
         Collection collection;
         std::map<std::string, Record> records;
+        /// When records appeared, without those of the first list.
+        std::map<std::string, TimePoint> appearedAt;
         std::uint64_t revision = 0;
         /// Time as of which the records were complete, by a call to the store that began then.
         TimePoint confirmedAt = decisions::distantPast;
@@ -191,6 +193,7 @@
     void adoptConfiguration(const FleetConfiguration &configuration, const char *source);
     void reportChange();
     void storeEpochSeen(std::uint64_t epoch, TimePoint seenAt, const char *source);
+    static void dropAppearances(CollectionState &state);
     bool isRetained(const CollectionState &state, const Record &record) const;
     void removeRetained();
 
--- a/sessions/src/internal/directory.cpp
+++ b/sessions/src/internal/directory.cpp
@@ -160,7 +160,12 @@
 
 std::vector<MemberRecord> Directory::members() const
 {
-    return valuesOf<MemberRecord>(m_members.records);
+    std::vector<MemberRecord> members = valuesOf<MemberRecord>(m_members.records);
+    for (MemberRecord &member : members) {
+        const auto appearedAt = m_members.appearedAt.find(member.id.text());
+        member.knownSince = appearedAt == m_members.appearedAt.end() ? decisions::distantPast : appearedAt->second;
+    }
+    return members;
 }
 
 std::vector<InstanceRecord> Directory::instances() const
@@ -417,7 +422,6 @@
     const std::uint64_t knownRevision = state.isLoaded ? state.revision : 0;
     const bool isFirstList = !state.isLoaded;
     state.revision = std::max(state.revision, revision);
-    state.isLoaded = true;
     std::set<std::string> listedNames;
     bool isChanged = false;
     for (const Record &record : records) {
@@ -433,6 +437,8 @@
         isChanged = isChanged || isDeleted;
         entry = isDeleted ? state.records.erase(entry) : std::next(entry);
     }
+    state.isLoaded = true;
+    dropAppearances(state);
     state.digest = computeDigest(state);
     if (state.collection == Collection::Terms && m_termListener) {
         // Also reports that the services without a record have none: a home may then write the first one.
@@ -444,6 +450,14 @@
     }
 }
 
+/// Forgets when records appeared that are gone.
+void Directory::dropAppearances(CollectionState &state)
+{
+    std::erase_if(state.appearedAt, [&](const auto &entry) {
+        return !state.records.contains(entry.first);
+    });
+}
+
 void Directory::reportChange()
 {
     if (std::exchange(m_isChangeReportPending, true)) {
@@ -464,6 +478,7 @@
     for (const Record &record : records) {
         isChanged = applyRecord(state, record, decisions::distantPast) || isChanged;
     }
+    dropAppearances(state);
     state.digest = computeDigest(state);
     if (isChanged) {
         reportChange();
@@ -485,6 +500,9 @@
         return state.records.erase(record.name) > 0;
     }
     const bool isChanged = found == state.records.end() || found->second.value != record.value;
+    if (found == state.records.end() && state.isLoaded) {
+        state.appearedAt[record.name] = EventLoop::now();
+    }
     state.records[record.name] = record;
     if (const auto *configuration = std::get_if<FleetConfiguration>(&record.value)) {
         adoptConfiguration(*configuration, "store");
--- a/sessions/test/directory_test.cpp
+++ b/sessions/test/directory_test.cpp
@@ -310,4 +310,18 @@
     CHECK(fixture.directory.membersConfirmedAt() == confirmedAt);
 }
 
+TEST_CASE("A member that appears after the first list is known since then", "[directory]")
+{
+    DirectoryFixture fixture;
+    const TimePoint appearedAfter = EventLoop::now();
+    fixture.store.put(Collection::Members, "m3", memberRecord("m3"));
+    REQUIRE(fixture.runUntil([&] {
+        return fixture.memberNames().contains("m3");
+    }));
+    for (const MemberRecord &member : fixture.directory.members()) {
+        INFO(member.id.text());
+        CHECK((member.knownSince >= appearedAfter) == (member.id == MemberId("m3")));
+    }
+}
+
 } // namespace rattanbeam::sessions::test
