A connection on which a SET or RESET failed is reset before its next statement

Cause: the home noted a connection's values when the command succeeded, and kept the earlier ones after an error, although FAILED and TIMEOUT mean that it ran. The connection is now reset before its next statement. The request itself was not sent: a single statement or the first of a transaction is tried again instead of being answered with FAILED.

--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -356,6 +356,7 @@
                              TimePoint now);
     static bool isOlderLogOfNewerTerm(const Work &work, const Answer &answer);
     void statementAnswered(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now);
+    void preparationFailed(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now);
     void statementFailed(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now);
     void pinOrReleaseConnection(Member &member, MemberConnection &connection, const Work &work, const Answer &answer, TimePoint now);
     void statusAnswered(Member &member, const ReplicationStatus &status, const PrimaryLease::Confirmation &confirmation, TimePoint now);
--- a/decisions/include/rattanbeam/decisions/session/memberconnections.h
+++ b/decisions/include/rattanbeam/decisions/session/memberconnections.h
@@ -25,6 +25,8 @@
     /// Bytes of the values.
     std::size_t valueBytes = 0;
     std::set<std::string> preparedNames;
+    /// Whether the member may have other values and prepared names than these: it failed a command that sets them, and may have run it.
+    bool isStateUnknown = false;
     /// The open transaction to which the connection is reserved.
     std::optional<TransactionKey> pinnedBy;
     /// Commands not yet answered, in order. Only the first may have been sent: a connection carries one command at a time.
--- a/decisions/src/session/grouphomeanswers.cpp
+++ b/decisions/src/session/grouphomeanswers.cpp
@@ -60,7 +60,7 @@
             connection->work.reset();
             connection->commands.clear();
             member->queue.finished(*work, now);
-            statementFailed(*member, *connection, *work, answer, now);
+            preparationFailed(*member, *connection, *work, answer, now);
         } else {
             dropConnection(*member, number, false, StatementError::InDoubt, now);
         }
@@ -75,6 +75,22 @@
     startQueuedWork(*member, now);
 }
 
+/// A command failed that was to give the connection the session's values or prepared statement. The request's own statement was not sent.
+void GroupHome::preparationFailed(Member &member, MemberConnection &connection, WorkNumber number, const Answer &answer, TimePoint now)
+{
+    if (guaranteesNoEffect(answer.error)) {
+        statementFailed(member, connection, number, answer, now);
+        return;
+    }
+    connection.isStateUnknown = true;
+    const HomeRequest &request = m_work.at(number).request;
+    Answer failure = answer;
+    if (request.transaction.isNone() || request.forwarded.opensTransaction) {
+        failure.error = StatementError::Busy; // so that it is tried again
+    }
+    statementFailed(member, connection, number, failure, now);
+}
+
 /// Frees the connection before handling the answer, since that may send new work on it.
 void GroupHome::maintenanceAnswered(Member &member,
                                     MemberConnection &connection,
--- a/decisions/src/session/grouphomeconnections.cpp
+++ b/decisions/src/session/grouphomeconnections.cpp
@@ -405,6 +405,7 @@
         connection.values.clear();
         connection.valueBytes = 0;
         connection.preparedNames.clear();
+        connection.isStateUnknown = false;
     } else if (command.statement.kind == StatementKind::SetValue) {
         std::string &value = connection.values[command.statement.name];
         connection.valueBytes += command.statement.arguments.size();
--- a/decisions/src/session/memberconnections.cpp
+++ b/decisions/src/session/memberconnections.cpp
@@ -148,7 +148,7 @@
     const bool isNewName = !preparedName.empty() && !connection.preparedNames.contains(preparedName);
     // A reset would end an open transaction.
     const bool isFull = isNewName && !connection.pinnedBy && connection.preparedNames.size() >= maxPreparedPerConnection;
-    const bool isReset = needsReset(connection, values) || isFull;
+    const bool isReset = connection.isStateUnknown || needsReset(connection, values) || isFull;
     if (isReset) {
         MemberCommand reset;
         reset.kind = CommandKind::Reset;
--- a/decisions/test/session/grouphome_test.cpp
+++ b/decisions/test/session/grouphome_test.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
+#include <random>
+
 namespace rattanbeam::decisions::session::test
 {
 
@@ -729,4 +732,115 @@
     CHECK_FALSE(group.isReported("member-limited"));
 }
 
+namespace
+{
+
+/// Answers all commands as members do that run each SET, PREPARE and RESET, and answer some of them with an error nevertheless. Checks that
+/// statements run with the values of their session.
+class FailingMembers
+{
+public:
+    FailingMembers(FakeGroup &group, StatementError error) : m_group(group), m_error(error)
+    {}
+    /// A write of a session with these values.
+    HomeRequest writeRequest(const std::string &id, const SessionValues &values)
+    {
+        m_sessionValues[id] = values;
+        HomeRequest request = m_group.writeRequest(id);
+        request.values = std::make_shared<const SessionValues>(values);
+        return request;
+    }
+    /// `isFailed()` tells of each command that prepares a connection whether it is answered with the error.
+    template<typename Decision>
+    void answerAll(Decision isFailed)
+    {
+        m_group.finishConnecting();
+        while (!m_group.pendingCommands.empty()) {
+            const FakeGroup::SentCommand next = m_group.pendingCommands.front();
+            if (run(next) && isFailed()) {
+                m_group.pendingCommands.erase(m_group.pendingCommands.begin());
+                --m_group.pendingCounts[next.connection];
+                m_group.home.answered(next.connection, Answer::failure(m_error, "", SessionPhase::Idle), std::nullopt, m_group.now);
+            } else {
+                m_group.answerNext();
+            }
+            m_group.finishConnecting();
+        }
+    }
+
+private:
+    /// Returns whether the command prepares its connection.
+    bool run(const FakeGroup::SentCommand &sent)
+    {
+        SessionValues &values = m_memberValues[sent.connection];
+        const Statement &statement = sent.command.statement;
+        if (sent.command.kind == CommandKind::Reset) {
+            values.clear();
+            return true;
+        }
+        if (sent.command.kind != CommandKind::Statement) {
+            return false;
+        }
+        if (statement.kind == StatementKind::SetValue) {
+            values[statement.name] = statement.arguments;
+            return true;
+        }
+        if (const auto expected = m_sessionValues.find(statement.id); expected != m_sessionValues.end()) {
+            INFO(statement.id);
+            CHECK(values == expected->second);
+        }
+        return false;
+    }
+
+    FakeGroup &m_group;
+    StatementError m_error;
+    std::map<ConnectionNumber, SessionValues> m_memberValues;
+    std::map<std::string, SessionValues> m_sessionValues;
+};
+
+} // namespace
+
+// Guards against statements that run with the values of another session.
+TEST_CASE("A connection on which a SET or RESET failed is reset before its next statement", "[grouphome]")
+{
+    const StatementError error = GENERATE(StatementError::Failed, StatementError::TimedOut);
+    FakeGroup group;
+    group.makeHealthy();
+    FailingMembers members(group, error);
+    std::mt19937 random(20261207);
+    const std::array<SessionValues, 3> values{SessionValues(), SessionValues{{"zone", "utc"}}, SessionValues{{"zone", "cet"}}};
+    for (int i = 0; i < 300; ++i) {
+        group.home.request(members.writeRequest("w" + std::to_string(i), values[random() % values.size()]), group.now);
+        members.answerAll([&] {
+            return random() % 2 == 0;
+        });
+        group.advanceTime(10ms);
+    }
+    const auto served = std::count_if(group.replies.begin(), group.replies.end(), [](const FakeGroup::SentReply &each) {
+        return each.reply.answer.isSuccess();
+    });
+    CHECK(served > 100);
+}
+
+// Guards against writes that count as perhaps run, although they were never sent.
+TEST_CASE("A write whose connection could not be prepared is tried again", "[grouphome]")
+{
+    FakeGroup group;
+    group.makeHealthy();
+    FailingMembers members(group, StatementError::Failed);
+    const HomeRequest request = members.writeRequest("w1", {{"zone", "utc"}});
+    group.home.request(request, group.now);
+    bool isFailed = false;
+    for (int i = 0; i < 10; ++i) {
+        members.answerAll([&] {
+            return !std::exchange(isFailed, true);
+        });
+        group.advanceTime(10ms);
+    }
+    CHECK(isFailed);
+    REQUIRE(group.replyTo(request.number) != nullptr);
+    CHECK(group.replyTo(request.number)->answer.isSuccess());
+    CHECK(group.timesSent("w1") == 1);
+}
+
 } // namespace rattanbeam::decisions::session::test
