A graceful stop does not close a session whose next statement is unread

Not seen again, so that the cause is inferred from reading: a session counted as at rest while its next statement was still in the socket's buffer, and what is read after the close is dropped.

A session is closed only if its client has sent nothing that was not passed on: bytes in the socket, queued statements or a part of one.

--- a/sessions/include/rattanbeam/sessions/ports.h
+++ b/sessions/include/rattanbeam/sessions/ports.h
@@ -32,6 +32,11 @@
     /// The session stores `bytes` for the client from now on.
     virtual void setSessionBytes(std::size_t /*bytes*/)
     {}
+    /// Whether the client has sent something that has not been passed on yet.
+    virtual bool hasUnreadInput()
+    {
+        return false;
+    }
     virtual void close() = 0;
 };
 
--- a/sessions/src/internal/entryservice.cpp
+++ b/sessions/src/internal/entryservice.cpp
@@ -504,7 +504,8 @@
 {
     std::vector<SessionNumber> idleSessions;
     for (const auto &[number, session] : m_sessions) {
-        if (!session.isBusy && session.queuedStatements.empty() && session.state.phase() == SessionPhase::Idle) {
+        const bool isIdle = !session.isBusy && session.queuedStatements.empty() && session.state.phase() == SessionPhase::Idle;
+        if (isIdle && !session.channel->hasUnreadInput()) {
             idleSessions.push_back(number);
         }
     }
--- a/sessions/test/fakeplatform.h
+++ b/sessions/test/fakeplatform.h
@@ -316,6 +316,10 @@
     {
         answers.push_back(answer);
     }
+    bool hasUnreadInput() override
+    {
+        return hasUnread;
+    }
     void close() override
     {
         isClosed = true;
@@ -323,6 +327,7 @@
 
     bool isAccepted = false;
     bool isClosed = false;
+    bool hasUnread = false;
     std::optional<StatementError> refusal;
     std::vector<Answer> answers;
 };
--- a/sessions/test/sessioninstance_test.cpp
+++ b/sessions/test/sessioninstance_test.cpp
@@ -169,6 +169,27 @@
     CHECK(wasClosedFirst);
 }
 
+// Guards against a graceful stop of a busy instance that closes a session although its client has sent the next statement.
+TEST_CASE("A draining instance keeps a session open whose client has sent what it has not read yet", "[sessioninstance]")
+{
+    InstanceFixture fixture;
+    REQUIRE(fixture.runUntil([&] {
+        return fixture.instance->isReady();
+    }));
+    const auto resting = fixture.openSession().second;
+    const auto sending = fixture.openSession().second;
+    sending->hasUnread = true;
+    fixture.instance->drain([] {}, [] {});
+    REQUIRE(fixture.runUntil([&] {
+        return resting->isClosed;
+    }));
+    CHECK_FALSE(sending->isClosed);
+    sending->hasUnread = false;
+    CHECK(fixture.runUntil([&] {
+        return sending->isClosed;
+    }));
+}
+
 TEST_CASE("Statements under way when a drain reaches its time limit are answered before the process ends", "[sessioninstance]")
 {
     InstanceFixture fixture;
