A fence that a home holds does not speak against its own primary

After the promotion of a new member a replica stays fenced for some seconds. Its status took the new primary's evidence away every 400 ms, the last read of the term record included, so that answers waited for a read each time and the group would have stopped with the store. It is now no evidence either way. That is enough: a home that the term record lists is waited for by the next change of primary, and for another one only evidence from after the answer counts.

Test: the case of grouphomefailover_test for the fence also writes to the new primary; it fails without the rule.

--- a/decisions/src/session/grouphomeanswers.cpp
+++ b/decisions/src/session/grouphomeanswers.cpp
@@ -352,7 +352,8 @@
         return;
     }
     const bool isLedTermUnknown = led == 0 && !status.isPrimary && status.fenceTerm == 0;
-    if (m_change.stage != ChangeStage::None || isLedTermUnknown) {
+    const bool isOwnFence = !status.isPrimary && status.fenceTerm != 0 && isFenceHeld(id, now);
+    if (m_change.stage != ChangeStage::None || isLedTermUnknown || isOwnFence) {
         return;
     }
     const auto confirmed = m_lease.replicaConfirmations().find(id);
--- a/decisions/test/session/grouphomefailover_test.cpp
+++ b/decisions/test/session/grouphomefailover_test.cpp
@@ -947,6 +947,14 @@
         return group.home.primary() == MemberId("m2");
     }));
     group.completeTermWrite();
+    // The replica's fence does not speak against the new primary.
+    group.advanceTime(500ms);
+    group.answerAll();
+    const HomeRequest request = group.writeRequest("w1");
+    group.home.request(request, group.now);
+    group.answerAll();
+    REQUIRE(group.replyTo(request.number) != nullptr);
+    CHECK(group.replyTo(request.number)->answer.signature == "signed-by-m2");
     const TimePoint knownToAllAt = TimePoint(1000s) + PrimaryLease::memberListTerm + leaseTime;
     const auto isResumed = [&] {
         return group.statuses[MemberId("m3")].fenceTerm == 0;
