A home that yields its lease gives up its own change of primary

A home that was asked to yield while it awaited its candidate's lead completed its change all the same: it went back to its earlier generation, named the candidate the primary and listed itself, although the other home was about to promote another member. Not seen with processes.

--- a/decisions/src/session/grouphometerm.cpp
+++ b/decisions/src/session/grouphometerm.cpp
@@ -574,6 +574,7 @@
         return false;
     }
     if (m_lease.generation() < generation) {
+        abandonChange("lease-yielded", now);
         m_lease.restart(generation, false, replicaIds());
         m_primary = MemberId();
         refuseUnconfirmableAnswers(now);
--- a/decisions/test/session/grouphomefailover_test.cpp
+++ b/decisions/test/session/grouphomefailover_test.cpp
@@ -893,6 +893,46 @@
 namespace
 {
 
+/// Crashes the primary, and goes on until the promotion of a replica has been ordered. Returns the replica.
+MemberId orderPromotion(FakeGroup &group)
+{
+    group.makeHealthy();
+    crashMember(group, "m1");
+    group.home.peersAnswered(MemberId("m1"), 0, 2, group.now);
+    group.completeTermWrite();
+    REQUIRE(runUntil(group, [&] {
+        return !group.promotionOrders.empty();
+    }));
+    return group.promotionOrders.front().first;
+}
+
+void makePrimary(FakeGroup &group, const MemberId &id)
+{
+    group.statuses[id].isPrimary = true;
+    group.statuses[id].term = 2;
+    group.statuses[id].fenceTerm = 0;
+}
+
+} // namespace
+
+// Guards against answers of a replaced primary at a home that has given up its lease for a later change of primary.
+TEST_CASE("A home that yields its lease does not complete its change of primary", "[grouphomefailover]")
+{
+    FakeGroup group;
+    const MemberId chosen = orderPromotion(group);
+    group.home.promotionAnswered(chosen, PromotionResult::Accepted, group.now);
+    REQUIRE(group.home.yieldLease(3, group.now));
+    makePrimary(group, chosen);
+    const std::size_t writes = group.termWrites.size();
+    group.advanceTime(500ms);
+    group.answerAll();
+    CHECK(group.home.primary().isEmpty());
+    CHECK(group.termWrites.size() == writes);
+}
+
+namespace
+{
+
 constexpr Duration leaseTime = GroupHomeLimits().leaseDuration + GroupHomeLimits().leaseMargin;
 
 /// A group whose replica m2 has joined just now.
