A completed change of primary rests on the last answered read of the term record

A read that was sent because an order had to be repeated, and that the store never answered, so covered answers of the new primary while another home could have begun a later change.

The last answered read that showed this generation is taken instead; the order is only sent after one.

Test: grouphomefailover_test, "A home that completes a change of primary has evidence from the last answered read of the term record"; it fails with the former time.

--- a/decisions/src/session/grouphomefailover.cpp
+++ b/decisions/src/session/grouphomefailover.cpp
@@ -247,8 +247,9 @@
                        {"took_ms", std::to_string(millisecondsUntil(now, m_change.startedAt))}}});
     m_change = {};
     const bool isListed = std::find(m_term->homes.begin(), m_term->homes.end(), m_self) != m_term->homes.end();
+    const TimePoint termRecordReadAt = m_lease.lastTermRecordReadAt(); // the order was preceded by a read that showed this generation
     m_lease.restart(m_term->generation, isListed, replicaIds());
-    m_lease.termRecordRead(m_term->generation, isListed, m_lastTermReadAt);
+    m_lease.termRecordRead(m_term->generation, isListed, termRecordReadAt);
     m_isWritingTerm = true;
     m_lastTermWriteAt = now;
     m_effects.writeTerm(*m_term, m_termRevision);
--- a/decisions/test/session/grouphomefailover_test.cpp
+++ b/decisions/test/session/grouphomefailover_test.cpp
@@ -930,6 +930,35 @@
     CHECK(group.termWrites.size() == writes);
 }
 
+// Guards against a lease that rests on a read of the term record that the store never answered.
+TEST_CASE("A home that completes a change of primary has evidence from the last answered read of the term record", "[grouphomefailover]")
+{
+    FakeGroup group;
+    const MemberId chosen = orderPromotion(group);
+    // The platform's answer is late, and the store does not answer any more. Before the order is repeated, the home reads the record.
+    const int reads = group.termReads;
+    group.home.promotionAnswered(chosen, PromotionResult::Unavailable, group.now);
+    for (int i = 0; i < 14; ++i) {
+        group.advanceTime(100ms);
+        group.answerAll();
+    }
+    REQUIRE(group.termReads > reads);
+    group.home.promotionAnswered(chosen, PromotionResult::Accepted, group.now);
+    makePrimary(group, chosen);
+    REQUIRE(runUntil(group, [&] {
+        return group.home.primary() == chosen;
+    }));
+    const HomeRequest request = group.writeRequest("w1");
+    group.home.request(request, group.now);
+    group.answerAll();
+    CHECK(group.replyTo(request.number) == nullptr);
+    group.completeTermWrite();
+    REQUIRE(runUntil(group, [&] {
+        return group.replyTo(request.number) != nullptr;
+    }));
+    CHECK(group.replyTo(request.number)->answer.signature == "signed-by-" + chosen.text());
+}
+
 namespace
 {
 
