A new member that registered before all others is promoted without a guard

What matters is which lists are possible. A list that lacks the candidate can hold only members that registered before it. So the guard is the fenced replica that has been registered for longest, and none is needed if the candidate is that one. Among equals the longest registered is preferred.

--- a/decisions/include/rattanbeam/decisions/session/grouphome.h
+++ b/decisions/include/rattanbeam/decisions/session/grouphome.h
@@ -416,8 +416,11 @@
     void fenceWitnesses(TimePoint now);
     bool haveLeasesEnded(TimePoint now) const;
     TimePoint knownToAllHomesAt(const Member &member) const;
-    std::optional<MemberId> guardingReplica(TimePoint now) const;
+    TimePoint listedSince(const Member &member, TimePoint now) const;
+    std::map<MemberId, TimePoint> otherReplicas(TimePoint now) const;
     bool isGuardNeeded(TimePoint now) const;
+    std::optional<MemberId> guardingReplica(TimePoint now) const;
+    bool isGuarded(TimePoint now) const;
     bool isFenceHeld(const MemberId &id, TimePoint now) const;
     std::vector<MemberId> reachableReplicas() const;
     std::vector<MemberId> updatedWitnesses(const TermRecord &record) const;
--- a/decisions/src/session/grouphomecandidates.cpp
+++ b/decisions/src/session/grouphomecandidates.cpp
@@ -192,8 +192,8 @@
     const bool isLastResort = m_noCandidateSince != distantPast && now - m_noCandidateSince > lastResortAfter;
     const bool isSynchronous = m_limits.synchronousReplicas > 0;
     std::optional<MemberId> best;
-    // Among equals, members that stay in the group are preferred, and then those that every home knows.
-    std::tuple<LogPosition, bool, bool> highest;
+    // Among equals, members that stay in the group are preferred, and then those that homes have known for longest.
+    std::tuple<LogPosition, bool, Duration> highest;
     for (const auto &[id, received] : m_change.reportedPositions) {
         const auto member = m_members.find(id);
         const bool isLeaving = member != m_members.end() && member->second.record.isLeaving;
@@ -202,8 +202,8 @@
         const bool isKnown = isUp && member->second.status;
         const bool isOldLeader = isKnown && member->second.status->isPrimary && !isNewLeader(*member->second.status);
         const bool isFit = isKnown && !isOldLeader && (member->second.status->term >= m_change.oldPrimaryTerm || isLastResort);
-        const bool isKnownToAll = isUp && now >= knownToAllHomesAt(member->second);
-        const std::tuple merit{received, !isLeaving && id != m_change.oldPrimary, isKnownToAll};
+        const Duration listedFor = isUp ? now - listedSince(member->second, now) : Duration{};
+        const std::tuple merit{received, !isLeaving && id != m_change.oldPrimary, listedFor};
         if (isFit && (!best || merit > highest)) {
             best = id;
             highest = merit;
@@ -312,29 +312,74 @@
     return member.record.knownSince + PrimaryLease::memberListTerm + m_limits.leaseDuration + m_limits.leaseMargin;
 }
 
-/// Whether a home that is cut off may not know the candidate, and so pass on answers of the old primary by the word of the replicas that it
-/// knows. The old primary's own word that it is a replica rules that out.
+/// A list of members that another home relies on and that was complete at this time or later holds the member; distantPast if every such
+/// list does.
+TimePoint GroupHome::listedSince(const Member &member, TimePoint now) const
+{
+    return now >= knownToAllHomesAt(member) ? distantPast : member.record.knownSince;
+}
+
+/// The replicas other than the candidate that a home may ask for their word, each with the time since when it is listed.
+std::map<MemberId, TimePoint> GroupHome::otherReplicas(TimePoint now) const
+{
+    std::map<MemberId, TimePoint> others;
+    for (const auto &[id, unregisteredAt] : m_unregisteredReplicas) {
+        others[id] = distantPast;
+    }
+    for (const auto &[id, member] : m_members) {
+        others[id] = listedSince(member, now);
+    }
+    for (const MemberId &id : {m_change.candidate, m_change.oldPrimary, m_lastNamedPrimary}) {
+        others.erase(id);
+    }
+    return others;
+}
+
+/// Whether a home that is cut off may know other replicas but not the candidate, and so pass on answers of the old primary by their word.
+/// The old primary's own word that it is a replica rules that out.
 bool GroupHome::isGuardNeeded(TimePoint now) const
 {
     const auto candidate = m_members.find(m_change.candidate);
-    return candidate != m_members.end() && !m_change.finalPosition && now < knownToAllHomesAt(candidate->second)
-           && !(candidate->second.status && candidate->second.status->isPrimary);
+    if (candidate == m_members.end() || m_change.finalPosition || now >= knownToAllHomesAt(candidate->second)
+        || (candidate->second.status && candidate->second.status->isPrimary)) {
+        return false;
+    }
+    const auto others = otherReplicas(now);
+    return std::any_of(others.begin(), others.end(), [&](const auto &other) {
+        return other.second <= candidate->second.record.knownSince;
+    });
 }
 
-/// A replica that every home knows and that is fenced, so that none of them has the word of every replica for the old primary. Answers of
+/// The fenced replica that is listed for longest. No home that knows it has the word of every replica for the old primary. Answers of
 /// listed homes stay covered for the duration of the lease after the fence.
 std::optional<MemberId> GroupHome::guardingReplica(TimePoint now) const
 {
     const Duration minFenceTime = m_change.leaseHolders.empty() ? Duration{} : m_limits.leaseDuration + m_limits.leaseMargin;
-    for (const auto &[id, fencedSince] : m_change.fencedSince) {
+    std::optional<MemberId> guard;
+    TimePoint guardListedSince = TimePoint::max();
+    for (const auto &[id, since] : otherReplicas(now)) {
         const auto member = m_members.find(id);
-        const bool isKnownToAll = member != m_members.end() && now >= knownToAllHomesAt(member->second);
-        if (isKnownToAll && id != m_change.candidate && id != m_change.oldPrimary && member->second.status
-            && member->second.status->fenceTerm != 0 && now - fencedSince >= minFenceTime) {
-            return id;
+        const auto fenced = m_change.fencedSince.find(id);
+        const bool isFenced = member != m_members.end() && fenced != m_change.fencedSince.end() && now - fenced->second >= minFenceTime
+                              && member->second.status && member->second.status->fenceTerm != 0;
+        if (isFenced && since < guardListedSince) {
+            guard = id;
+            guardListedSince = since;
         }
     }
-    return std::nullopt;
+    return guard;
+}
+
+/// Whether each list that holds other replicas but not the candidate holds the guarding one.
+bool GroupHome::isGuarded(TimePoint now) const
+{
+    const auto guard = guardingReplica(now);
+    const TimePoint guardListedSince = guard ? listedSince(m_members.at(*guard), now) : TimePoint::max();
+    const TimePoint candidateListedSince = listedSince(m_members.at(m_change.candidate), now);
+    const auto others = otherReplicas(now);
+    return std::none_of(others.begin(), others.end(), [&](const auto &other) {
+        return other.second <= candidateListedSince && other.second < guardListedSince;
+    });
 }
 
 /// Whether the member is to stay fenced although the change of primary is over.
@@ -346,7 +391,7 @@
 /// Whether no other home can still pass on answers of the old primary.
 bool GroupHome::haveLeasesEnded(TimePoint now) const
 {
-    if (isGuardNeeded(now) && !guardingReplica(now)) {
+    if (isGuardNeeded(now) && !isGuarded(now)) {
         return false;
     }
     const Duration leaseTime = m_limits.leaseDuration + m_limits.leaseMargin;
--- a/decisions/test/session/grouphomefailover_test.cpp
+++ b/decisions/test/session/grouphomefailover_test.cpp
@@ -1046,4 +1046,24 @@
     CHECK(runWithStoreUntil(group, 2s, isAnyOrdered));
 }
 
+// Guards against a long wait in a group whose members have all joined lately: no home knows only others than the first one.
+TEST_CASE("A new replica that joined before all others is promoted at once", "[grouphomefailover]")
+{
+    std::vector<MemberRecord> members = groupWithNewReplica();
+    members[0].knownSince = members[1].knownSince;
+    members[2].knownSince = members[1].knownSince + 10ms;
+    FakeGroup group(members);
+    group.makeHealthy();
+    const bool isOtherReplicaDown = GENERATE(false, true);
+    if (isOtherReplicaDown) {
+        crashMember(group, "m3");
+    }
+    crashPrimary(group);
+    REQUIRE(runWithStoreUntil(group, 2s, [&] {
+        return !group.promotionOrders.empty();
+    }));
+    CHECK(isOrdered(group, "m2"));
+    CHECK(std::find(group.events.begin(), group.events.end(), "fence-held") == group.events.end());
+}
+
 } // namespace rattanbeam::decisions::session::test
